Ask every worker before a job that ran elsewhere starts again

Besides, each try at a silent worker counted as a prolongation, so its tasks never counted as lapsed.

Ruled out: a stop that came too late (the second start went out 7 ms after the take-over, before any report).

Now homes know where each task was placed and say so; the dispatcher waits for those workers' reports or their lapse, for all others' reports or the time in which the other side stops. The term decides who dispatches, the fence (which may go up) no longer does.

--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -57,13 +57,27 @@
         self.workers_by_id: dict[str, _state.WorkerState] = {}
         self.orders_by_task: dict[model.TaskId, dict[str, _state.Order]] = {}
         self._actions: list[_actions.Action] = []
+        self._told: list[_state.JobState] = []
 
     def take_actions(self) -> list[_actions.Action]:
-        """Returns the actions asked for since the last call."""
-        taken = self._actions
+        """Returns the actions asked for since the last call.
+
+        What homes have to know comes first: one that hears of a start
+        after it was made could call a job not run meanwhile.
+        """
+        taken = [action for state in self._told for action in _tell(state)]
+        taken += self._actions
+        self._told = []
         self._actions = []
         return taken
 
+    def news_of(self, state: _state.JobState) -> _state.JobNews:
+        """Returns what the homes of a job are to be told with the rest."""
+        if state.news is None:
+            state.news = _state.JobNews()
+            self._told.append(state)
+        return state.news
+
     def ask(self, action: _actions.Action) -> None:
         """Asks for an action."""
         self._actions.append(action)
@@ -140,16 +154,6 @@
 
     # Jobs.
 
-    def tell(
-        self,
-        state: _state.JobState,
-        message: model.JobProgress | model.JobSettled,
-        cause: str = '',
-    ) -> None:
-        """Tells all homes of a job."""
-        for vm in state.homes:
-            self.ask(_actions.TellHome(vm, message, cause))
-
     def settle(
         self,
         state: _state.JobState,
@@ -160,7 +164,11 @@
     ) -> None:
         """Ends a job; what still runs of it is stopped."""
         message = model.JobSettled(state.job.id, end, retry_after_ms)
-        self.tell(state, message, cause)
+        for vm in state.homes:
+            self.ask(_actions.TellHome(vm, message, cause))
+        if state.news is not None:
+            self._told.remove(state)
+            state.news = None
         self.forget_job(state, cause, now)
 
     def forget_job(
@@ -205,3 +213,13 @@
             worker.suspensions = 0
             worker.suspended_until = 0.0
             self.note('worker_trusted', worker.worker.id, 'a task ended well')
+
+
+def _tell(state: _state.JobState) -> list[_actions.Action]:
+    news = state.news
+    state.news = None
+    attempt = max(task.attempt for task in state.tasks)
+    message = model.JobProgress(
+        state.job.id, attempt, tuple(news.done), tuple(news.placed)
+    )
+    return [_actions.TellHome(vm, message) for vm in state.homes]
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -13,6 +13,10 @@
 # takes a few milliseconds.
 _STOP_AGAIN_MS = 200.0
 
+# A dispatcher that has lost a home stops that home's tasks. It notices the
+# loss when the home does, give or take two signs of life.
+_OTHER_STOPS_MS = 300.0
+
 # How far the numbers of attempts jump when a worker knows a higher one: a
 # job that came again has forgotten how often it was started before.
 _ATTEMPT_JUMP = 16
@@ -69,7 +73,7 @@
         if state.left == 0:
             context.settle(state, model.JobEnd.COMPLETED, 'done before', now)
             return context.take_actions()
-        self._find_earlier(state, now)
+        self._find_earlier(state, message.placed, now)
         if not state.started and not _queue.could_ever_run(context, state):
             _queue.refuse(context, state, 'no worker is large enough', now)
         _queue.fill(context, now)
@@ -108,7 +112,10 @@
         for key, worker in listed.items():
             known = context.workers_by_id.get(key)
             if known is None:
-                context.workers_by_id[key] = _state.WorkerState(worker)
+                # Another dispatcher may have prolonged its leases just now.
+                context.workers_by_id[key] = _state.WorkerState(
+                    worker, held_at=now
+                )
                 context.note('worker_listed', key, worker.failure_domain)
                 continue
             if worker.leaving and not known.worker.leaving:
@@ -123,11 +130,19 @@
         _queue.fill(context, now)
         return context.take_actions()
 
+    def may_prolong(self, worker_id: str) -> bool:
+        """Tells whether a worker's leases may be prolonged.
+
+        Those of one that gives no answer have to lapse: its tasks can't
+        start elsewhere before.
+        """
+        worker = self._context.workers_by_id.get(worker_id)
+        return worker is not None and worker.silent_since is None
+
     def held(self, worker_id: str, now: float) -> None:
         """Notes that a call which prolongs leases goes out now."""
-        worker = self._context.workers_by_id.get(worker_id)
-        if worker is not None:
-            worker.held_at = now
+        if self.may_prolong(worker_id):
+            self._context.workers_by_id[worker_id].held_at = now
 
     def reported(
         self, worker_id: str, report: model.WorkerReport, now: float
@@ -197,6 +212,8 @@
         context = self._context
         for worker in list(context.workers_by_id.values()):
             self._check_worker(worker, now)
+        for state in context.jobs_by_id.values():
+            _stop_expecting(state, now)
         _queue.refuse_hopeless(context, now)
         self._drop_unlisted()
         _queue.fill(context, now)
@@ -211,18 +228,41 @@
         if not state.homes:
             self._context.forget_job(state, cause, now)
 
-    def _find_earlier(self, state: _state.JobState, now: float) -> None:
+    def _find_earlier(
+        self,
+        state: _state.JobState,
+        placed: tuple[model.Placement, ...],
+        now: float,
+    ) -> None:
         context = self._context
         for task in state.tasks:
             orders = list(context.orders_by_task.get(task.id, {}).items())
             for worker_id, order in orders:
                 self._adopt(state, worker_id, order, now)
-        if not state.started:
-            return
-        for worker in context.workers_by_id.values():
-            if now - worker.held_at < context.limits.lapse_ms:
-                state.unseen.add(worker.worker.id)
-                context.ask(_actions.LookAt(worker.worker.id))
+        if state.started:
+            self._expect_reports(state, placed, now)
+
+    def _expect_reports(
+        self,
+        state: _state.JobState,
+        placed: tuple[model.Placement, ...],
+        now: float,
+    ) -> None:
+        """Has all workers asked before the job's tasks start again.
+
+        The dispatcher before this one may still have prolonged the leases
+        of those that it placed tasks on, whether or not they can be
+        reached from here.
+        """
+        context = self._context
+        unstopped = now + _OTHER_STOPS_MS
+        lapsed = now + context.limits.lapse_ms
+        for key in context.workers_by_id:
+            state.unseen[key] = unstopped
+            context.ask(_actions.LookAt(key))
+        for item in placed:
+            if state.tasks[item.index].phase is _state.Phase.WAITING:
+                state.unseen[item.worker] = lapsed
 
     def _adopt(
         self,
@@ -298,8 +338,6 @@
             and now - worker.held_at > context.limits.lapse_ms
         ):
             context.drop_orders(worker, 'silent until the leases lapsed')
-            for state in context.jobs_by_id.values():
-                state.unseen.discard(worker.worker.id)
             return
         looked = False
         for order in list(worker.orders_by_key.values()):
@@ -351,11 +389,14 @@
     )
 
 
+def _stop_expecting(state: _state.JobState, now: float) -> None:
+    for key, until in list(state.unseen.items()):
+        if now >= until:
+            del state.unseen[key]
+
+
 def _tell_all(context: _context.Context, state: _state.JobState) -> None:
-    done = tuple(
-        task.id.index
-        for task in state.tasks
-        if task.phase is _state.Phase.DONE
-    )
-    attempt = max(task.attempt for task in state.tasks)
-    context.tell(state, model.JobProgress(state.job.id, attempt, done))
+    news = context.news_of(state)
+    for task in state.tasks:
+        if task.phase is _state.Phase.DONE:
+            news.done.append(task.id.index)
--- a/rosemaryroad/dispatching/_ends.py
+++ b/rosemaryroad/dispatching/_ends.py
@@ -46,9 +46,7 @@
     if state.left == 0:
         context.settle(state, model.JobEnd.COMPLETED, 'all tasks done', now)
         return
-    context.tell(
-        state, model.JobProgress(state.job.id, task.attempt, (index,))
-    )
+    context.news_of(state).done.append(index)
 
 
 def stood_still(
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -38,6 +38,9 @@
 # some 5 ms. Without it the VM goes ahead under a term of its own.
 CLAIM_TIMEOUT_MS = 200.0
 
+# A dispatcher that went ahead without the table writes its row later.
+_MEND_AGAIN_MS = 1_000.0
+
 # How long after a lost claim the winner has to be heard.
 _LOST_CLAIM_MS = 300.0
 
@@ -61,7 +64,7 @@
 
     Attributes:
         claim: Whether it gives orders itself.
-        term: The term of its orders.
+        term: The term of the dispatcher.
         dispatcher: The VM that it hands its jobs to, or ''.
     """
 
@@ -103,13 +106,24 @@
         self._dispatcher = ''
         self._leaving = False
         self._row = LeaseRow(0, '')
+        self._mend_at = now
         self._term = 0
+        self._fence = 0
 
     @property
     def role(self) -> Role:
         """What this VM does now."""
         return Role(self._claim, self._term, self._dispatcher)
 
+    @property
+    def fence(self) -> int:
+        """The fence of orders; usually the term.
+
+        It is higher where workers have seen a higher one, which doesn't
+        make this VM the dispatcher of more than it was.
+        """
+        return max(self._term, self._fence)
+
     @property
     def may_order(self) -> bool:
         """Whether orders may go out now.
@@ -124,6 +138,7 @@
         """Returns the sign of life to send."""
         return model.Pulse(
             self._term,
+            self.fence,
             self._dispatcher,
             self._claim,
             table_version,
@@ -149,23 +164,23 @@
         peer = self._peer_by_vm.setdefault(vm, _Peer(now, now))
         peer.heard_at = now
         peer.pulse = pulse
+        self._fence = max(self._fence, pulse.fence)
         self._evaluate(now)
 
     def row_read(self, row: LeaseRow, now: float) -> None:
         """Takes in what the row says."""
         if row.term > self._row.term:
             self._row = row
-        if self._claim is model.Claim.NONE:
-            self._term = max(self._term, row.term)
+        self._fence = max(self._fence, row.term)
         self._evaluate(now)
 
-    def fenced(self, term: int) -> None:
-        """Takes in that a worker knows a higher term than the one given.
+    def fenced(self, fence: int) -> None:
+        """Takes in that a worker knows a higher fence than the one given.
 
         Others have acted under it and can't be heard, or their row can't
         be read. Without going up, this VM could not use that worker.
         """
-        self._term = max(self._term, term + 1, self._row.term)
+        self._fence = max(self._fence, fence + 1)
 
     def leave(self, now: float) -> None:
         """Lets another VM take over; this one is shutting down."""
@@ -196,14 +211,18 @@
         The caller writes it under the condition that the row has not
         changed, and tells the outcome.
         """
-        if self._claiming or not self._should_claim(now):
+        if self._claiming:
             return None
-        self._claiming = True
-        return LeaseRow(max(self._term, self._row.term) + 1, self._vm)
+        wanted = self._row_to_mend(now)
+        if wanted is None and self._should_claim(now):
+            wanted = LeaseRow(max(self.fence, self._row.term) + 1, self._vm)
+        self._claiming = wanted is not None
+        return wanted
 
     def claim_won(self, row: LeaseRow, now: float) -> None:
         """Takes in that the row names this VM, or that none can be read."""
         self._claiming = False
+        self._mend_at = now + _MEND_AGAIN_MS
         if self._leaving or row.term <= self._term:
             return
         if self._best_other(now) is not None:
@@ -220,15 +239,16 @@
         self._wait_until = now + _LOST_CLAIM_MS
         self.row_read(row, now)
 
-    def row_to_mend(self) -> LeaseRow | None:
-        """Returns the row as it should be, where it lags behind this VM."""
-        acts = self._claim is model.Claim.DISPATCHER
-        if acts and not self._claiming and self._row.term < self._term:
-            return LeaseRow(self._term, self._vm)
-        return None
-
     # Parts of the above.
 
+    def _row_to_mend(self, now: float) -> LeaseRow | None:
+        """Returns the row as it should be, where it lags behind this VM."""
+        if self._claim is not model.Claim.DISPATCHER or now < self._mend_at:
+            return None
+        if self._row.term >= self._term:
+            return None
+        return LeaseRow(self._term, self._vm)
+
     def _fresh(self, now: float) -> list[str]:
         return [
             vm
@@ -258,7 +278,7 @@
             ours = _rank(self._claim, self._term, self._vm)
             if self._claim is model.Claim.NONE or theirs < ours:
                 self._claim = model.Claim.NONE
-                self._term = max(self._term, pulse.term)
+                self._term = pulse.term
                 self._follow(best, now)
                 return
         if self._claim is not model.Claim.NONE:
@@ -290,6 +310,11 @@
             return False
         if self._lost_in_order:
             return True
+        if not self._lost and self._row.vm == self._vm:
+            # This VM dispatched before it was restarted, and nobody has
+            # taken over since: nobody is there. Waiting for the links
+            # would cost some 400 ms after a loss of all VMs.
+            return True
         if self._lost:
             return now - self._lost_at >= _AGREE_MS
         if self._known and set(self._fresh(now)) >= self._known:
@@ -324,7 +349,9 @@
             return False
         if not are_all and not self._lost_in_order:
             return False
-        if not without and self._known and self._term > 0:
+        if not self._lost and self._row.vm == self._vm:
+            return True
+        if not without and self._known and self.fence > 0:
             # Alone among several: the others may have a dispatcher.
             return False
         return all(self._vm < vm for vm in without)
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -156,10 +156,9 @@
     )
     task.order = order
     context.add_order(worker, order)
-    if not state.started:
-        state.started = True
-        progress = model.JobProgress(state.job.id, task.attempt)
-        context.tell(state, progress)
+    state.started = True
+    placed = model.Placement(task.id.index, worker.worker.id)
+    context.news_of(state).placed.append(placed)
     context.ask(
         _actions.StartTask(
             worker.worker.id,
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -64,7 +64,7 @@
     worker.full = False
     for state in context.jobs_by_id.values():
         if state.unseen and report.asked_at >= state.came_at:
-            state.unseen.discard(worker.worker.id)
+            state.unseen.pop(worker.worker.id, None)
 
 
 def _take_end(
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -76,6 +76,19 @@
     failed_on: set[str] = attrs.field(factory=set)
 
 
+@attrs.define(eq=False)
+class JobNews:
+    """What has happened to a job since its homes were told last.
+
+    Attributes:
+        done: Tasks that have ended well.
+        placed: Tasks that are about to be told to start.
+    """
+
+    done: list[int] = attrs.field(factory=list)
+    placed: list[model.Placement] = attrs.field(factory=list)
+
+
 @attrs.define(eq=False)
 class JobState:
     """One job.
@@ -89,7 +102,9 @@
         tasks: Its tasks.
         started: Whether any order to start was given, by anyone.
         unseen: Workers that may run tasks of it for another dispatcher
-            and have not told since it came; no task starts before.
+            and have not told since it came, each with the time until
+            which that is possible; no task starts before.
+        news: What its homes have not been told yet.
         blamed: Workers that were blamed for its failures.
         waiting: How many tasks wait.
         left: How many tasks have not ended well.
@@ -102,7 +117,8 @@
     deadline: float
     tasks: list[TaskState]
     started: bool = False
-    unseen: set[str] = attrs.field(factory=set)
+    unseen: dict[str, float] = attrs.field(factory=dict)
+    news: 'JobNews | None' = None
     blamed: set[str] = attrs.field(factory=set)
     waiting: int = 0
     left: int = 0
--- a/rosemaryroad/endpoints/_workers.py
+++ b/rosemaryroad/endpoints/_workers.py
@@ -42,8 +42,9 @@
         fence: int,
         acknowledged: int,
         wait_ms: float,
+        prolong: bool = True,
     ) -> model.WorkerReport:
-        """Prolongs the leases and asks what runs and what has ended.
+        """Asks what runs and what has ended.
 
         Args:
             worker: The worker.
@@ -52,6 +53,7 @@
                 told again.
             wait_ms: How long the worker may wait for an end that it can
                 tell.
+            prolong: Whether the leases are prolonged.
 
         Raises:
             WorkerReplaced: Another life of it answers.
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -110,8 +110,8 @@
     # What sessions ask and tell.
 
     def fence(self) -> int:
-        """Returns the term of orders."""
-        return self._leadership.role.term
+        """Returns the fence of orders."""
+        return self._leadership.fence
 
     def may_order(self) -> bool:
         """Tells whether orders may go out now."""
@@ -122,6 +122,11 @@
         dispatcher = self._dispatcher
         return dispatcher is not None and dispatcher.has_work(worker)
 
+    def may_prolong(self, worker: str) -> bool:
+        """Tells whether a worker's leases may be prolonged."""
+        dispatcher = self._dispatcher
+        return dispatcher is not None and dispatcher.may_prolong(worker)
+
     def held(self, worker: str) -> None:
         """Notes that a call which prolongs leases goes out."""
         if self._dispatcher is not None:
@@ -160,12 +165,12 @@
 
     def fenced(self, worker: str) -> None:
         """Takes in that a worker has seen a higher fence."""
-        term = self._leadership.role.term
+        fence = self._leadership.fence
         logs.event(
-            _LOG, logging.WARNING, 'order_fenced', worker=worker, term=term
+            _LOG, logging.WARNING, 'order_fenced', worker=worker, fence=fence
         )
         if self.may_order():
-            self._leadership.fenced(term)
+            self._leadership.fenced(fence)
 
     # Actions.
 
@@ -202,7 +207,7 @@
             task=action.task.index,
             attempt=action.attempt,
             worker=action.worker,
-            term=self.fence(),
+            fence=self.fence(),
             waited_ms=action.waited_ms,
         )
         self._metrics.waited(action.waited_ms)
--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -31,6 +31,7 @@
     callers: int = 0
     attempt: int = 0
     done: set[int] = attrs.field(factory=set)
+    worker_by_task: dict[int, str] = attrs.field(factory=dict)
     handed_to: str = ''
     handed_ever: bool = False
 
@@ -141,6 +142,8 @@
         if held is not None:
             held.attempt = max(held.attempt, message.attempt)
             held.done.update(message.done)
+            for item in message.placed:
+                held.worker_by_task[item.index] = item.worker
 
     def settled(self, vm: str, message: model.JobSettled) -> None:
         """Takes in the end of a job."""
@@ -175,6 +178,11 @@
             held.deadline - now,
             held.attempt,
             tuple(sorted(held.done)),
+            tuple(
+                model.Placement(index, worker)
+                for index, worker in held.worker_by_task.items()
+                if index not in held.done
+            ),
         )
         # Set first: a dispatcher in this very process answers at once.
         held.handed_to = self._dispatcher
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -30,7 +30,7 @@
     """Whoever decides about the worker."""
 
     def fence(self) -> int:
-        """Returns the term of orders."""
+        """Returns the fence of orders."""
 
     def may_order(self) -> bool:
         """Tells whether orders may go out now."""
@@ -38,6 +38,9 @@
     def is_busy(self, worker: str) -> bool:
         """Tells whether anything runs at the worker."""
 
+    def may_prolong(self, worker: str) -> bool:
+        """Tells whether the worker's leases may be prolonged."""
+
     def held(self, worker: str) -> None:
         """Notes that a call which prolongs leases goes out."""
 
@@ -165,10 +168,15 @@
         if not handler.may_order():
             await self._clock.sleep(_BACKOFF_MS)
             return True
+        prolong = handler.may_prolong(self.worker.id)
         handler.held(self.worker.id)
         try:
             report = await self._client.hold(
-                self.worker, handler.fence(), self._acknowledged, wait_ms
+                self.worker,
+                handler.fence(),
+                self._acknowledged,
+                wait_ms,
+                prolong,
             )
         except endpoints.WorkerReplaced:
             handler.replaced(self.worker.id)
--- a/rosemaryroad/model/__init__.py
+++ b/rosemaryroad/model/__init__.py
@@ -43,6 +43,7 @@
 from rosemaryroad.model._job_messages import JobSettled
 from rosemaryroad.model._job_messages import JobSubmitted
 from rosemaryroad.model._job_messages import JobWithdrawn
+from rosemaryroad.model._job_messages import Placement
 from rosemaryroad.model._job_messages import Pulse
 from rosemaryroad.model._job_messages import QueuesShared
 from rosemaryroad.model._jobs import EndedTask
@@ -134,6 +135,7 @@
     'OrderResult',
     'Outcome',
     'PeerMessage',
+    'Placement',
     'Pulse',
     'QuarantineReported',
     'QueueRoute',
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -27,7 +27,8 @@
     """A sign of life, sent several times a second.
 
     Attributes:
-        term: The highest term that the sender knows.
+        term: The term of the dispatcher, as the sender knows it.
+        fence: The highest fence that the sender knows.
         dispatcher: The VM that dispatches for the sender, or ''.
         claim: What the sender itself claims to be.
         table_version: The version of the queues that it has in force.
@@ -36,6 +37,7 @@
     """
 
     term: int
+    fence: int
     dispatcher: str
     claim: Claim
     table_version: int
@@ -54,6 +56,19 @@
     table: _jobs.QueueTable
 
 
+@attrs.frozen
+class Placement:
+    """Where a task was told to start.
+
+    Attributes:
+        index: The task's number in its job.
+        worker: The worker's id.
+    """
+
+    index: int
+    worker: str
+
+
 @attrs.frozen
 class JobSubmitted:
     """A home hands a job to its dispatcher.
@@ -66,6 +81,7 @@
         left_ms: How long the client still waits.
         attempt: The highest attempt that any of its tasks may have had.
         done: Its tasks that have ended well already.
+        placed: Where the others may run by another dispatcher's order.
     """
 
     job: _jobs.Job
@@ -73,6 +89,7 @@
     left_ms: float
     attempt: int = 0
     done: tuple[int, ...] = ()
+    placed: tuple[Placement, ...] = ()
 
 
 @attrs.frozen
@@ -97,11 +114,13 @@
         job: The job's id.
         attempt: The highest attempt of any of its tasks.
         done: Tasks that have ended well since it was told last.
+        placed: Tasks that are about to be told to start.
     """
 
     job: str
     attempt: int
     done: tuple[int, ...] = ()
+    placed: tuple[Placement, ...] = ()
 
 
 @attrs.frozen
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -67,8 +67,9 @@
         fence: int,
         acknowledged: int,
         wait_ms: float,
+        prolong: bool = True,
     ) -> model.WorkerReport:
-        """Prolongs the leases and looks; see the base class."""
+        """Asks what runs; see the base class."""
         asked_at = self._clock.now()
         body = {
             'fence': fence,
@@ -76,7 +77,7 @@
             'wait_ms': int(wait_ms),
         }
         lease_end = self._lease_end(worker)
-        if lease_end is not None:
+        if prolong and lease_end is not None:
             # A time on the minion's clock, and of the leases, not of work.
             body['deadline_ms'] = lease_end
         try:
--- /dev/null
+++ b/tests/dispatching/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about jobs."""
