--- a/deploy/rosemaryroadd.py
+++ b/deploy/rosemaryroadd.py
@@ -1,10 +1,15 @@
 """Starts the daemon from the folder that the build made.
 
 The build compiles the package there once. Compiled at each start in its
-place, it would keep a daemon that was killed away for longer.
+place, it would keep a daemon that was killed away for longer; collecting
+garbage in between, which imports don't leave, takes a tenth of them.
 """
 
-from rosemaryroad import jobdaemon
+import gc
+
+gc.disable()
+
+from rosemaryroad import jobdaemon  # noqa: E402
 
 if __name__ == '__main__':
     jobdaemon.main()
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -324,6 +324,7 @@
         if result is model.OrderResult.UNKNOWN:
             if order.phase is _state.OrderPhase.STARTING:
                 order.phase = _state.OrderPhase.IN_DOUBT
+                worker.unanswered_at = now
                 order.stop_sent_at = now
                 context.ask(_actions.LookAt(worker.worker.id))
             return
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -14,8 +14,8 @@
 # Signs of life go out every PULSE_MS; four in a row have to be missing
 # before a peer counts as silent, since a VM that is slowed down five times
 # is late by some hundred milliseconds.
-PULSE_MS = 150.0
-SILENT_MS = 600.0
+PULSE_MS = 120.0
+SILENT_MS = 480.0
 
 # After a loss, the others' next signs tell whether they still hear the
 # dispatcher; they send one at once when they lose it themselves.
@@ -370,9 +370,12 @@
             return False
         if self._should_claim(now):
             return False
-        if self._lost and now - self._lost_at < _DEPUTY_MS:
+        without, are_all = self._others_without(now)
+        # Where every VM that is heard has lost the dispatcher as well, no
+        # single link is at fault, and there is nothing to wait for.
+        patience = 0.0 if are_all and without else _DEPUTY_MS
+        if self._lost and now - self._lost_at < patience:
             return False
-        without, _ = self._others_without(now)
         return all(self._vm < vm for vm in without)
 
 
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -12,6 +12,10 @@
 # expected would miss it: run times spread by 0.4 in the logarithm.
 _OPTIMISM = 0.7
 
+# A job of which nothing has started by then is refused while its client
+# has time to go elsewhere.
+_PATIENCE = 0.45
+
 # When to come back where nothing better is known: about one round of the
 # longest tasks.
 _RETRY_MS = 500.0
@@ -24,6 +28,7 @@
         for worker in context.workers_by_id.values()
         if worker.reported
         and not worker.full
+        and worker.unanswered_at is None
         and not context.must_wait(worker, now)
     ]
     most = _most_free(pool)
@@ -51,9 +56,13 @@
                 )
             continue
         expected = state.expected_ms * _OPTIMISM
+        window = state.deadline - state.arrived
         if now + expected > state.deadline:
             cause = f'{state.deadline - now:.0f} ms left of {expected:.0f}'
             refuse(context, state, cause, now)
+        elif now - state.arrived > _PATIENCE * window:
+            cause = f'waited {now - state.arrived:.0f} ms of {window:.0f}'
+            refuse(context, state, cause, now)
         elif not could_ever_run(context, state):
             refuse(context, state, 'no worker is large enough', now)
 
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -69,6 +69,9 @@
     if worker.taken_up_at is None:
         worker.taken_up_at = now
     worker.silent_since = None
+    unanswered_at = worker.unanswered_at
+    if unanswered_at is not None and report.asked_at >= unanswered_at:
+        worker.unanswered_at = None
     worker.full = False
     for state in context.expecting:
         if report.asked_at >= state.came_at:
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -148,6 +148,9 @@
         bad: Attempts in a row that it failed.
         suspended_until: Until when it gets no work.
         suspensions: How often in a row it was suspended.
+        unanswered_at: When it last left an order unanswered, or None
+            where it has told of itself since. It gets no more until then:
+            a cut would swallow them all.
         full: Whether it refused for room since it last reported.
         free_cores: What its tasks leave of its cores.
         free_memory_mb: The same of its memory.
@@ -166,6 +169,7 @@
     bad: int = 0
     suspended_until: float = 0.0
     suspensions: int = 0
+    unanswered_at: float | None = None
     full: bool = False
     free_cores: float = 0.0
     free_memory_mb: float = 0.0
--- a/rosemaryroad/jobdaemon.py
+++ b/rosemaryroad/jobdaemon.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import gc
 import logging
 import os
 import pathlib
@@ -48,6 +49,9 @@
         for problem in error.problems:
             print(problem, file=sys.stderr)
         sys.exit(EXIT_INVALID)
+    # What the imports made lives as long as the process.
+    gc.freeze()
+    gc.enable()
     sink = logsink.BoundedHandler(_STDOUT)
     logs.configure(settings.log.level.value, settings.vm, sink)
     code = uvloop.run(_serve(settings, path, sink))
--- a/rosemaryroad/jobserver/_front.py
+++ b/rosemaryroad/jobserver/_front.py
@@ -12,6 +12,11 @@
 
 _LOG = logging.getLogger(__name__)
 
+# A daemon that has just started reads the queues within some 100 ms; the
+# jobs that come meanwhile needn't be sent away.
+_FIRST_QUEUES_MS = 400.0
+_FIRST_QUEUES_POLL_MS = 10.0
+
 
 class JobFront(jobservice.JobService):
     """Takes jobs in and tells of them.
@@ -40,6 +45,13 @@
         """Whether any version of the queues is in force."""
         return bool(self._queues.version)
 
+    async def wait_for_queues(self) -> bool:
+        """Waits a moment for the first version of the queues."""
+        until = self._clock.now() + _FIRST_QUEUES_MS
+        while not self.has_queues and self._clock.now() < until:
+            await self._clock.sleep(_FIRST_QUEUES_POLL_MS)
+        return self.has_queues
+
     def find_queue(self, host: str, path: str) -> jobservice.QueueMatch | None:
         """Returns the queue that a call is for, if there is one."""
         return self._queues.find(host, path)
--- a/rosemaryroad/jobservice.py
+++ b/rosemaryroad/jobservice.py
@@ -55,6 +55,14 @@
     def has_queues(self) -> bool:
         """Whether any version of the queues is in force."""
 
+    @abc.abstractmethod
+    async def wait_for_queues(self) -> bool:
+        """Waits a moment for the first version of the queues.
+
+        Returns:
+            Whether any is in force.
+        """
+
     @abc.abstractmethod
     def find_queue(self, host: str, path: str) -> QueueMatch | None:
         """Returns the queue that a call is for, if there is one."""
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -150,7 +150,7 @@
         self, request: sanic.Request, path: str
     ) -> sanic.HTTPResponse:
         front = self._front
-        if not front.has_queues:
+        if not await front.wait_for_queues():
             return self._refuse(path, 'no configuration')
         match = front.find_queue(request.host, request.path)
         if match is None:
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -86,6 +86,7 @@
         served: How many were answered whole, late ones included.
         refused: How many were refused as not run.
         refused_late: Of these, after a quarter of their objective.
+        held: Worth of those never started and held for half their time.
     """
 
     asked: float = 0.0
@@ -94,6 +95,7 @@
     served: int = 0
     refused: int = 0
     refused_late: int = 0
+    held: float = 0.0
 
     @property
     def share(self) -> float:
@@ -262,6 +264,8 @@
             if job.end is model.JobEnd.NOT_RUN:
                 tally.refused += 1
                 tally.refused_late += took > job.objective_ms / 4
+                if took > job.kind.deadline_ms / 2:
+                    tally.held += job.worth
             if job.end is not model.JobEnd.COMPLETED:
                 continue
             tally.served += took <= job.kind.deadline_ms
