--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -105,6 +105,7 @@
         self._claiming = False
         self._dispatcher = ''
         self._leaving = False
+        self._informed = False
         self._row = LeaseRow(0, '')
         self._mend_at = now
         self._term = 0
@@ -143,6 +144,7 @@
             self._claim,
             table_version,
             self._leaving,
+            self._informed,
             tuple(sorted(self._fresh(self._ticked_at))),
         )
 
@@ -150,6 +152,14 @@
         """Takes in which other entry VMs there are."""
         self._known = vms - {self._vm}
 
+    def inform(self) -> None:
+        """Takes in that the workers and the other VMs are known.
+
+        A VM that has just started behind a cut knows none; as the
+        dispatcher it would refuse every job.
+        """
+        self._informed = True
+
     def joined(self, vm: str, now: float) -> None:
         """Takes in that a link to a peer stands."""
         self._peer_by_vm[vm] = _Peer(now, now)
@@ -306,6 +316,8 @@
     def _is_ready(self, now: float) -> bool:
         if self._leaving or self._dispatcher or now < self._wait_until:
             return False
+        if not self._informed:
+            return False
         if now < self._unsure_until:
             return False
         if self._lost_in_order:
@@ -359,7 +371,15 @@
             # their work over when they are back, and have to learn what
             # runs where; a deputy gives way to theirs.
             return False
-        return all(self._vm < vm for vm in without)
+        return self._is_first(without)
+
+    def _is_first(self, others: list[str]) -> bool:
+        """Tells whether this VM comes before others that could act."""
+        return all(
+            self._vm < vm
+            for vm in others
+            if self._peer_by_vm[vm].pulse.informed
+        )
 
     def _are_most(self, others: list[str]) -> bool:
         """Tells whether this VM and others are more than half of all."""
@@ -376,7 +396,7 @@
         patience = 0.0 if are_all and without else _DEPUTY_MS
         if self._lost and now - self._lost_at < patience:
             return False
-        return all(self._vm < vm for vm in without)
+        return self._is_first(without)
 
 
 def _rank(claim: model.Claim, term: int, vm: str) -> tuple[int, int, str]:
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -20,6 +20,9 @@
 class Dispatching(_sessions.SessionHandler):
     """The dispatcher together with the I/O that it asks for.
 
+    Attributes:
+        workers: The workers, or None before they are known.
+
     It has state only while this VM gives orders; what it knew before is
     of no use once another one has given some.
 
@@ -49,7 +52,7 @@
         self._metrics = metrics
         self._dispatcher: dispatching.JobDispatcher | None = None
         self._session_by_worker: dict[str, _sessions.WorkerSession] = {}
-        self._workers: tuple[model.Worker, ...] = ()
+        self.workers: tuple[model.Worker, ...] | None = None
 
     @property
     def is_acting(self) -> bool:
@@ -65,7 +68,7 @@
             self._dispatcher = dispatching.JobDispatcher(
                 self._limits, claim is model.Claim.DEPUTY
             )
-            self.list_workers(self._workers)
+            self.list_workers(self.workers or ())
             return
         self._dispatcher = None
         for session in self._session_by_worker.values():
@@ -74,7 +77,7 @@
 
     def list_workers(self, workers: tuple[model.Worker, ...]) -> None:
         """Takes in which workers there are."""
-        self._workers = workers
+        self.workers = workers
         if self._dispatcher is None:
             return
         now = self._clock.now()
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -7,8 +7,6 @@
 import random
 import secrets
 
-import attrs
-
 from rosemaryroad import clock as clock_module
 from rosemaryroad import dispatching
 from rosemaryroad import errors
@@ -33,19 +31,6 @@
 _WRITE_AGAIN_MS = 500.0
 
 
-@attrs.frozen
-class VmRow:
-    """What an entry VM tells of itself in the store.
-
-    Attributes:
-        vm: Its id.
-        address: Where it listens for peers.
-    """
-
-    vm: str
-    address: str
-
-
 class JobLinkHandler(peers.PeerHandler):
     """Hands what peers tell to those whom it concerns."""
 
@@ -99,6 +84,9 @@
     def queues_shared(self, table: model.QueueTable) -> None:
         """A VM knows a version of the queues."""
 
+    def workers_shared(self, workers: tuple[model.Worker, ...]) -> None:
+        """A VM knows the workers, and this one does not."""
+
 
 class Members:
     """Keeps the links, sends signs of life and settles who dispatches.
@@ -112,11 +100,12 @@
         clock: The clock.
         rng: Where jitter comes from.
         queue_table: Returns the queues in force, if there are any.
+        workers: Returns the workers, or None before they are known.
     """
 
     def __init__(
         self,
-        vm: VmRow,
+        vm: model.EntryVm,
         leadership: dispatching.Leadership,
         links: peers.PeerLinks,
         tables: platform.TableService,
@@ -124,6 +113,7 @@
         clock: clock_module.Clock,
         rng: random.Random,
         queue_table: collections.abc.Callable[[], model.QueueTable | None],
+        workers: collections.abc.Callable[[], tuple[model.Worker, ...] | None],
     ) -> None:
         self._row = vm
         self._leadership = leadership
@@ -133,6 +123,8 @@
         self._clock = clock
         self._rng = rng
         self._queue_table = queue_table
+        self._workers = workers
+        self._vms: tuple[model.EntryVm, ...] = ()
         self._role = leadership.role
         self._pulse_at = 0.0
         self._row_version = 0
@@ -151,9 +143,12 @@
         if isinstance(message, model.Pulse):
             self._leadership.heard(vm, message, self._clock.now())
             self._share_queues(vm, message)
+            self._share_directory(vm, message)
             self._check_role()
         elif isinstance(message, model.QueuesShared):
             self._handler.queues_shared(message.table)
+        elif isinstance(message, model.DirectoryShared):
+            self._take_directory(message)
         else:
             self._handler.job_message(vm, message)
 
@@ -174,14 +169,12 @@
         self, rows: collections.abc.Mapping[str, platform.Row]
     ) -> None:
         """Takes in the table in which the entry VMs find each other."""
-        addresses = {}
-        for key, row in rows.items():
-            if key.startswith(_VM_PREFIX):
-                found = _read_vm(row)
-                if found is not None:
-                    addresses[found.vm] = model.Address.parse(found.address)
-        self._links.set_peers(addresses)
-        self._leadership.peers_known(frozenset(addresses))
+        found = [
+            _read_vm(row)
+            for key, row in rows.items()
+            if key.startswith(_VM_PREFIX)
+        ]
+        self._set_vms(tuple(item for item in found if item is not None))
         row = rows.get(_DISPATCHER_KEY)
         if row is not None:
             self._take_row(row)
@@ -270,6 +263,33 @@
         version = table.version if table is not None else 0
         self._links.tell(vm, self._leadership.pulse(version))
 
+    def _set_vms(self, vms: tuple[model.EntryVm, ...]) -> None:
+        self._vms = vms
+        addresses = {
+            item.vm: model.Address.parse(item.address) for item in vms
+        }
+        self._links.set_peers(addresses)
+        self._leadership.peers_known(frozenset(addresses))
+        self.check_informed()
+
+    def check_informed(self) -> None:
+        """Looks whether this VM knows enough to dispatch."""
+        if self._vms and self._workers() is not None:
+            self._leadership.inform()
+
+    def _share_directory(self, vm: str, pulse: model.Pulse) -> None:
+        workers = self._workers()
+        if not pulse.informed and workers is not None and self._vms:
+            # The peer has just started and may be parted from the store.
+            self._links.tell(vm, model.DirectoryShared(workers, self._vms))
+
+    def _take_directory(self, message: model.DirectoryShared) -> None:
+        if not self._vms:
+            self._set_vms(message.vms)
+        if self._workers() is None:
+            self._handler.workers_shared(message.workers)
+        self.check_informed()
+
     def _share_queues(self, vm: str, pulse: model.Pulse) -> None:
         table = self._queue_table()
         if table is not None and pulse.table_version < table.version:
@@ -338,9 +358,9 @@
     return platform.Transaction(secrets.token_hex(8), (put,))
 
 
-def _read_vm(row: platform.Row) -> VmRow | None:
+def _read_vm(row: platform.Row) -> model.EntryVm | None:
     try:
-        found = structure.structure(json.loads(row.value), VmRow)
+        found = structure.structure(json.loads(row.value), model.EntryVm)
         model.Address.parse(found.address)
     except (ValueError, errors.CheckFailed) as error:
         logs.event(
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -117,7 +117,7 @@
             limits=_LINK_LIMITS,
         )
         self._members = _members.Members(
-            _members.VmRow(settings.vm, settings.listen.peers),
+            model.EntryVm(settings.vm, settings.listen.peers),
             self._leadership,
             self._links,
             adapter.tables,
@@ -125,6 +125,7 @@
             clock,
             self._rng,
             lambda: self.queues.table,
+            lambda: self._dispatching.workers,
         )
         handler.connect(self._members)
         self._workers_follower = self._follower(
@@ -187,6 +188,9 @@
             if lingered and not self._home.jobs_held:
                 break
             await self._clock.sleep(_DRAIN_POLL_MS)
+        # From here on no job is taken in; one that came between this look
+        # and the end of its connection would be cut off unanswered.
+        self.front.is_closed = True
         answered = not self._home.jobs_held
         self._home.log_held()
         await self._adapter.stop_serving()
@@ -232,6 +236,10 @@
         """Takes in the queues that another VM has in force."""
         self._apply_queues(table, 'peer')
 
+    def workers_shared(self, workers: tuple[model.Worker, ...]) -> None:
+        """Takes in the workers that another VM knows."""
+        self._list_workers(workers, 'peer')
+
     # What the store tells.
 
     def _on_queues(
@@ -244,7 +252,7 @@
     def _on_workers(
         self, rows: collections.abc.Mapping[str, platform.Row]
     ) -> None:
-        self._dispatching.list_workers(self._adapter.read_workers(rows))
+        self._list_workers(self._adapter.read_workers(rows), 'store')
 
     # Parts of the above.
 
@@ -265,6 +273,20 @@
             )
             self._check_ready()
 
+    def _list_workers(
+        self, workers: tuple[model.Worker, ...], source: str
+    ) -> None:
+        if self._dispatching.workers is None:
+            logs.event(
+                _LOG,
+                logging.INFO,
+                'workers_known',
+                count=len(workers),
+                source=source,
+            )
+        self._dispatching.list_workers(workers)
+        self._members.check_informed()
+
     def _check_ready(self) -> None:
         role = self._leadership.role
         ready = (
--- a/rosemaryroad/model/__init__.py
+++ b/rosemaryroad/model/__init__.py
@@ -38,6 +38,8 @@
 from rosemaryroad.model._identity import SessionId
 from rosemaryroad.model._identity import SubmissionKey
 from rosemaryroad.model._job_messages import Claim
+from rosemaryroad.model._job_messages import DirectoryShared
+from rosemaryroad.model._job_messages import EntryVm
 from rosemaryroad.model._job_messages import JobMessage
 from rosemaryroad.model._job_messages import JobProgress
 from rosemaryroad.model._job_messages import JobReleased
@@ -98,6 +100,7 @@
     'DEFAULT_RUN_MS',
     'DemandReported',
     'Document',
+    'DirectoryShared',
     'DocumentApplied',
     'DocumentDeleted',
     'DrainStarted',
@@ -108,6 +111,7 @@
     'EndpointSource',
     'EndpointsListed',
     'EndpointsPolicy',
+    'EntryVm',
     'Event',
     'Failed',
     'Failure',
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -33,6 +33,7 @@
         claim: What the sender itself claims to be.
         table_version: The version of the queues that it has in force.
         leaving: Whether it is shutting down.
+        informed: Whether it knows the workers and the other entry VMs.
         hears: The VMs whose signs of life reach it.
     """
 
@@ -42,6 +43,7 @@
     claim: Claim
     table_version: int
     leaving: bool
+    informed: bool
     hears: tuple[str, ...] = ()
 
 
@@ -56,6 +58,32 @@
     table: _jobs.QueueTable
 
 
+@attrs.frozen
+class EntryVm:
+    """An entry VM as the others find it.
+
+    Attributes:
+        vm: Its id.
+        address: Where it listens for peers, as ``IP:port``.
+    """
+
+    vm: str
+    address: str
+
+
+@attrs.frozen
+class DirectoryShared:
+    """The lists of the platform's store, for a VM that can't read them.
+
+    Attributes:
+        workers: The workers.
+        vms: The entry VMs.
+    """
+
+    workers: tuple[_jobs.Worker, ...]
+    vms: tuple[EntryVm, ...]
+
+
 @attrs.frozen
 class Placement:
     """Where a task was told to start.
@@ -157,6 +185,7 @@
 JobMessage: typing.TypeAlias = (
     Pulse
     | QueuesShared
+    | DirectoryShared
     | JobSubmitted
     | JobWithdrawn
     | JobReleased
--- a/rosemaryroad/peers/_codec.py
+++ b/rosemaryroad/peers/_codec.py
@@ -36,6 +36,7 @@
     model.JobProgress: 10,
     model.JobSettled: 11,
     model.JobReleased: 12,
+    model.DirectoryShared: 13,
 }
 _PLAIN = (int, float, str, bool, bytes)
 _TYPE_BY_KIND = {kind: cls for cls, kind in _KIND_BY_TYPE.items()}
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -17,6 +17,10 @@
 
 _LOG = logging.getLogger(__name__)
 
+# The library logs a traceback for each client that leaves before its
+# answer. Faults of our own are logged by the handler of errors below.
+logging.getLogger('sanic.error').setLevel(logging.CRITICAL)
+
 _MS_PER_SECOND = 1000.0
 _MILLI = 1000.0
 _BACKLOG = 1024
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -39,17 +39,31 @@
         for name in names:
             self.add(name)
 
-    def add(self, name: str) -> None:
-        """Starts a VM that is linked to all others."""
+    def add(
+        self,
+        name: str,
+        informed: bool = True,
+        links: tuple[str, ...] | None = None,
+    ) -> None:
+        """Starts a VM.
+
+        Args:
+            name: Its id.
+            informed: Whether it reaches the platform's lists and row.
+            links: The VMs that it is linked to; all by default.
+        """
         leadership = dispatching.Leadership(name, self.now)
         self.vm_by_name[name] = _Vm(
             leadership, self.now, self.now, leadership.role
         )
-        leadership.row_read(self.row, self.now)
+        if informed:
+            leadership.row_read(self.row, self.now)
+            leadership.inform()
         known = frozenset(self.vm_by_name)
         for other in self.vm_by_name:
             self.vm_by_name[other].leadership.peers_known(known)
-            if other != name:
+            wanted = links is None or other in links
+            if other != name and wanted:
                 self.link(name, other)
 
     def link(self, one: str, other: str) -> None:
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -145,3 +145,20 @@
         took = self.group.run_until_one(200)
         self.assertLessEqual(took, 200)
         self.assertGreater(self.group.row.term, row.term)
+
+    def test_a_vm_that_knows_no_workers_does_not_act(self) -> None:
+        """A VM is restarted behind a cut and can't read the platform's lists.
+
+        As its domain's deputy it would refuse every job there, although
+        the VM beside it knows workers that stand free.
+        """
+        others = [vm for vm in _SEVEN if vm != self.first]
+        fresh, informed = others[-2:]
+        self.group.kill(fresh)
+        for name in list(self.group.vm_by_name):
+            if name != informed:
+                self.group.silence(informed, name)
+        self.group.add(fresh, informed=False, links=(informed,))
+        self.group.run(1_500)
+        self.assertIs(model.Claim.DEPUTY, self.group.claims().get(informed))
+        self.assertNotIn(fresh, self.group.claims())
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -49,6 +49,9 @@
     estimate_ms=_MS,
     terms=_TERMS,
 )
+_WORKERS = strategies.builds(
+    model.Worker, capacity=strategies.builds(model.Needs, _MS, _COUNT, _COUNT)
+)
 _MESSAGES = (
     strategies.builds(model.Hello)
     | strategies.builds(
@@ -77,6 +80,10 @@
     | strategies.builds(model.JobSubmitted, job=_JOBS, age_ms=_MS, left_ms=_MS)
     | strategies.builds(model.JobWithdrawn)
     | strategies.builds(model.JobReleased)
+    | strategies.builds(
+        model.DirectoryShared,
+        strategies.lists(_WORKERS, max_size=2).map(tuple),
+    )
     | strategies.builds(model.JobProgress)
     | strategies.builds(model.JobSettled, retry_after_ms=_MS)
 )
