Test the adapter's interfaces and whole daemons that serve jobs

Stand-ins for the users' store and minions in tests/standins, contract tests with fault cases in tables, and three daemons as processes: killed, stopped and woken, leaving, without the store, with answers lost.

--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -143,7 +143,7 @@
         await self._links.serve(host, int(port))
         await self._adapter.serve(
             self.front,
-            self.metrics.render,
+            self._render_metrics,
             listen.callers,
             (listen.readiness, listen.operators),
         )
@@ -327,16 +327,16 @@
             now = self._clock.now()
             if self._sink is not None and now - flushed_at >= _FLUSH_MS:
                 flushed_at = now
-                self._set_gauges()
                 self._sink.flush()
             await self._clock.sleep(_members.TICK_MS)
 
-    def _set_gauges(self) -> None:
+    def _render_metrics(self) -> str:
         role = self._leadership.role
         dropped = self._sink.dropped if self._sink is not None else 0
         self.metrics.set_state(
             self.queues.version, role.term, role.claim, dropped
         )
+        return self.metrics.render()
 
     async def _close(self) -> None:
         for task in self._loops:
--- a/rosemaryroad/platform/__init__.py
+++ b/rosemaryroad/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from rosemaryroad.platform._adapter import JobPlatformAdapter
 from rosemaryroad.platform._http import Timeouts
+from rosemaryroad.platform._minions import MinionClient
 from rosemaryroad.platform._objects import HttpObjectStore
 from rosemaryroad.platform._objects import ObjectStore
 from rosemaryroad.platform._records import VmKind
@@ -31,6 +32,7 @@
     'HttpTableService',
     'HttpVmList',
     'JobPlatformAdapter',
+    'MinionClient',
     'ObjectStore',
     'Put',
     'Row',
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform_adapter/test_decoding.py
@@ -0,0 +1,131 @@
+"""Tests of the operators' configuration and the minions' entries."""
+
+import json
+import unittest
+
+from rosemaryroad import clock
+from rosemaryroad import model
+from rosemaryroad import platform
+
+_ROUTE = {
+    'name': 'r1',
+    'host': 'h.example',
+    'prefix': '/p/',
+    'kind': 'non_idempotent',
+    'timeout_ms': 1500,
+    'target_latency_ms': 60,
+    'priority': 2,
+    'service': 'archive',
+    'max_attempts': 4,
+    'slack_factor': 1.6,
+}
+_WORKER = {
+    'service': 'archive',
+    'address': '10.0.0.9:8080',
+    'zone': 'szeged',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'warmup_left_ms': 0,
+    'capacity': {'cpu': 16500, 'mem_mb': 32768, 'gpu': 1},
+    'labels': ['a', 'r1-3'],
+    'clock_ms': 482113,
+    'sequence': 4,
+}
+
+
+def _rows(**texts: str) -> dict[str, platform.Row]:
+    return {key: platform.Row(key, text, 1) for key, text in texts.items()}
+
+
+class DecodingTest(unittest.IsolatedAsyncioTestCase):
+    """Entries are read strictly; a bad one names nothing."""
+
+    async def asyncSetUp(self) -> None:
+        self.adapter = platform.JobPlatformAdapter(
+            '127.0.0.1:9', 100.0, 1_000.0, 'decoding', clock.Clock()
+        )
+        self.addAsyncCleanup(self.adapter.close)
+
+    def _queues(self, text: str) -> model.QueueTable | None:
+        return self.adapter.read_queues(_rows(config=text))
+
+    def _workers(self, entry: object) -> tuple[model.Worker, ...]:
+        text = entry if isinstance(entry, str) else json.dumps(entry)
+        return self.adapter.read_workers(_rows(i1=text))
+
+    def test_a_queue_with_its_terms(self) -> None:
+        table = self._queues(json.dumps({'version': 7, 'routes': [_ROUTE]}))
+        terms = model.JobTerms(2, 1.6, 60.0, 4)
+        route = model.QueueRoute('r1', 'h.example', '/p/', 'archive', terms)
+        self.assertEqual(model.QueueTable(7, (route,)), table)
+
+    def test_a_worker_with_its_room(self) -> None:
+        [worker] = self._workers(_WORKER)
+        self.assertEqual('i1', worker.id)
+        self.assertEqual(model.Needs(16.5, 32768, 1), worker.capacity)
+        self.assertEqual(('a', 'r1-3'), worker.labels)
+        self.assertFalse(worker.leaving)
+        [leaving] = self._workers(_WORKER | {'state': 'draining'})
+        self.assertTrue(leaving.leaving)
+
+    def test_configurations_that_can_not_be_read(self) -> None:
+        """Another writer damages the configuration.
+
+        The version in force has to stay; dropped queues would turn their
+        callers away.
+        """
+        for text in (
+            '',
+            '{',
+            '[]',
+            '{"routes": []}',
+            '{"version": "7", "routes": []}',
+            '{"version": 7, "routes": {}}',
+            '[' * 100_000,
+        ):
+            with self.subTest(text[:20]):
+                self.assertIsNone(self._queues(text))
+
+    def test_one_bad_route_hides_no_other(self) -> None:
+        for change in (
+            {'host': 5},
+            {'prefix': ''},
+            {'service': None},
+            {'priority': 'high'},
+            {'slack_factor': -1},
+        ):
+            routes = [_ROUTE | change, _ROUTE | {'name': 'r2'}, 'x']
+            text = json.dumps({'version': 7, 'routes': routes})
+            with self.subTest(change):
+                names = [route.name for route in self._queues(text).routes]
+                self.assertEqual(['r2'], names)
+
+    def test_bad_entries_name_no_worker(self) -> None:
+        """An entry comes from another writer, or in part.
+
+        Taken for a worker, it would get tasks that nobody runs.
+        """
+        for change in (
+            {'state': 'resting'},
+            {'state': 7},
+            {'address': 'nowhere'},
+            {'address': None},
+            {'service': ''},
+            {'capacity': 16},
+            {'capacity': {'cpu': '16', 'mem_mb': 1}},
+            {'capacity': {'cpu': 16}},
+            {'labels': 'a'},
+            {'labels': [1]},
+            {'zone': None},
+        ):
+            with self.subTest(change):
+                self.assertEqual((), self._workers(_WORKER | change))
+        for text in ('', 'nonsense', '[]', 'null', '[' * 100_000):
+            with self.subTest(text[:20]):
+                self.assertEqual((), self._workers(text))
+
+    def test_a_bad_entry_hides_no_other(self) -> None:
+        rows = _rows(i1='{', i2=json.dumps(_WORKER))
+        found = self.adapter.read_workers(rows)
+        self.assertEqual(['i2'], [worker.id for worker in found])
--- /dev/null
+++ b/tests/processes/job_case.py
@@ -0,0 +1,233 @@
+"""A deployment that serves jobs, for one test."""
+
+import asyncio
+import pathlib
+import secrets
+import socket
+import sys
+import tempfile
+import unittest
+
+import aiohttp
+import yaml
+
+from harness import deployment
+from rosemaryroad import errors
+from tests.standins import job_minion
+from tests.standins import job_store
+
+HOST = 'jobs.example'
+PREFIX = '/lookups/'
+_DOMAINS = ('szeged', 'bekes', 'kecskemet')
+_DEADLINE_MS = 8_000
+_TIMEOUT_S = 60.0
+
+
+def _free_addresses(count: int) -> list[str]:
+    """Returns addresses that nobody listens on just now."""
+    held = [socket.socket() for _ in range(count)]
+    for item in held:
+        item.bind(('127.0.0.1', 0))
+    ports = [item.getsockname()[1] for item in held]
+    for item in held:
+        item.close()
+    return [f'127.0.0.1:{port}' for port in ports]
+
+
+class JobDaemon:
+    """One daemon, its addresses and its settings file."""
+
+    def __init__(self, name: str, folder: pathlib.Path, store: str) -> None:
+        self.name = name
+        self.process: deployment.Process | None = None
+        addresses = _free_addresses(4)
+        self.callers, self.readiness, self.operators, peers = addresses
+        self._settings = folder / f'{name}.yaml'
+        settings = {
+            'vm': name,
+            'failure_domain': _DOMAINS[int(name[-1]) % len(_DOMAINS)],
+            'region': 'alfold',
+            'listen': {
+                'callers': self.callers,
+                'readiness': self.readiness,
+                'operators': self.operators,
+                'peers': peers,
+            },
+            'platform': {'address': store},
+        }
+        self._settings.write_text(yaml.safe_dump(settings))
+
+    async def start(self) -> None:
+        """Starts the process, the first time or again."""
+        self.process = await deployment.Process.start(
+            self.name,
+            sys.executable,
+            '-m',
+            'rosemaryroad.jobdaemon',
+            str(self._settings),
+        )
+
+    async def stop(self) -> None:
+        """Kills the process, if it still runs."""
+        if self.process is not None and self.process.running:
+            self.process.thaw()
+            self.process.kill()
+            await self.process.wait_for_exit()
+
+
+class JobCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a store, minions and daemons before each test.
+
+    Attributes:
+        DAEMONS: How many daemons there are.
+        MINIONS: How many minions there are.
+        WORK_MS: How long each task takes.
+    """
+
+    DAEMONS = 3
+    MINIONS = 3
+    WORK_MS = 40.0
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.store = job_store.JobStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.minions = []
+        for number in range(self.MINIONS):
+            await self.add_minion(f'i{number}')
+        self.put_queues(1)
+        self.daemons = [
+            JobDaemon(
+                f'entry-{number}', pathlib.Path(folder), self.store.address
+            )
+            for number in range(self.DAEMONS)
+        ]
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        for daemon in self.daemons:
+            self.addAsyncCleanup(daemon.stop)
+            await daemon.start()
+        for daemon in self.daemons:
+            await self.wait_ready(daemon)
+
+    async def add_minion(self, minion_id: str) -> job_minion.JobMinion:
+        """Starts a minion and lists it."""
+        minion = job_minion.JobMinion(minion_id, work_ms=self.WORK_MS)
+        await minion.start()
+        self.addAsyncCleanup(minion.stop)
+        self.minions.append(minion)
+        self.store.put('servers', minion_id, minion.entry())
+        return minion
+
+    def put_queues(self, version: int, *prefixes: str) -> None:
+        """Writes the operators' configuration."""
+        routes = [
+            {
+                'name': f'r-{prefix}',
+                'host': HOST,
+                'prefix': prefix,
+                'target_latency_ms': 60,
+                'priority': 0,
+                'service': 'archive',
+                'max_attempts': 3,
+                'slack_factor': 1.6,
+            }
+            for prefix in prefixes or (PREFIX,)
+        ]
+        body = {'version': version, 'routes': routes, 'services': []}
+        self.store.put('op', 'config', body)
+
+    async def wait_ready(self, daemon: JobDaemon) -> None:
+        """Waits until the balancer would send callers to a daemon."""
+        async with asyncio.timeout(_TIMEOUT_S):
+            while True:
+                try:
+                    url = f'http://{daemon.readiness}/api/readyz'
+                    async with self.session.get(url) as reply:
+                        if reply.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.02)
+
+    async def submit(
+        self,
+        daemon: JobDaemon,
+        job_id: str | None = None,
+        tasks: int = 2,
+        prefix: str = PREFIX,
+        deadline_ms: int = _DEADLINE_MS,
+        **step: object,
+    ) -> tuple[int, dict]:
+        """Hands a job in; returns the status and the body of the answer.
+
+        Raises:
+            aiohttp.ClientError: There was no whole answer.
+        """
+        job_id = job_id or secrets.token_hex(8)
+        body = {
+            'spec': 'payload',
+            'best_effort': True,
+            'steps': [
+                {
+                    'count': tasks,
+                    'cpu': 27_000,
+                    'mem_mb': 64,
+                    'est_ms': int(self.WORK_MS),
+                }
+                | step
+            ],
+        }
+        async with self.session.post(
+            f'http://{daemon.callers}{prefix}{job_id}',
+            json=body,
+            headers={'Host': HOST, 'X-Deadline-Ms': str(deadline_ms)},
+        ) as reply:
+            data = await reply.read()
+            found = await reply.json() if data else {}
+            return reply.status, found
+
+    async def submit_again(self, daemon: JobDaemon, job_id: str) -> int:
+        """Hands a job in, and again elsewhere while it gets no answer.
+
+        Returns:
+            The status of the first whole answer that is final.
+        """
+        others = [item for item in self.daemons if item is not daemon]
+        for target in (daemon, *others, *others):
+            try:
+                status, _ = await self.submit(target, job_id)
+            except aiohttp.ClientError:
+                await asyncio.sleep(1.3)
+                continue
+            if status not in (502, 504):
+                return status
+            await asyncio.sleep(1.3)
+        raise errors.RosemaryroadError(f'{job_id} has no answer')
+
+    def dispatcher(self) -> JobDaemon:
+        """Returns the daemon that the row names."""
+        row = self.store.value('rosemaryroad', 'dispatcher')
+        [found] = [item for item in self.daemons if item.name == row['vm']]
+        return found
+
+    def assert_no_overlap(self) -> None:
+        """Checks that no task has run twice at the same time."""
+        runs = [run for minion in self.minions for run in minion.runs]
+        runs.sort(key=lambda run: run.began)
+        for index, one in enumerate(runs):
+            for other in runs[index + 1 :]:
+                if other.task == one.task:
+                    self.assertIsNotNone(one.ended, one.task)
+                    self.assertLessEqual(one.ended, other.began, one.task)
+
+    def log_lines(self) -> str:
+        """Returns all that the daemons have written."""
+        return '\n'.join(
+            line
+            for daemon in self.daemons
+            if daemon.process is not None
+            for line in daemon.process.lines
+        )
--- /dev/null
+++ b/tests/processes/test_jobs.py
@@ -0,0 +1,160 @@
+"""Whole daemons serve jobs, also when one of them is lost."""
+
+import asyncio
+import re
+
+from tests.processes import job_case
+
+
+class JobsTest(job_case.JobCase):
+    """What clients and workers see of three daemons."""
+
+    async def _load(self, count: int, daemons) -> list[asyncio.Task]:
+        tasks = []
+        for number in range(count):
+            daemon = daemons[number % len(daemons)]
+            tasks.append(
+                asyncio.create_task(
+                    self.submit_again(daemon, f'{number:016x}')
+                )
+            )
+            await asyncio.sleep(0.02)
+        return tasks
+
+    async def test_jobs_come_back_whole(self) -> None:
+        answers = await asyncio.gather(
+            *(
+                self.submit(daemon, tasks=tasks)
+                for daemon in self.daemons
+                for tasks in (1, 2, 5)
+            )
+        )
+        expected = [(200, {'state': 'completed'})] * 9
+        self.assertEqual(expected, answers)
+        ran = sum(len(minion.runs) for minion in self.minions)
+        self.assertEqual(24, ran)
+        self.assert_no_overlap()
+
+    async def test_what_is_not_served_is_refused_as_never_run(self) -> None:
+        daemon = self.daemons[0]
+        for step in ({'gang': True}, {'after': [0]}, {'long_running': True}):
+            status, _ = await self.submit(daemon, **step)
+            self.assertEqual(503, status, step)
+        status, _ = await self.submit(daemon, cpu=10_000_000)
+        self.assertEqual(503, status)
+        status, _ = await self.submit(daemon, prefix='/nowhere/')
+        self.assertEqual(404, status)
+        self.assertEqual([], [run for m in self.minions for run in m.runs])
+
+    async def test_a_queue_comes_and_goes(self) -> None:
+        """Operators add a queue and remove another one."""
+        self.put_queues(2, '/new/')
+        async with asyncio.timeout(10):
+            for daemon in self.daemons:
+                while (await self.submit(daemon, prefix='/new/'))[0] != 200:
+                    await asyncio.sleep(0.02)
+                status, _ = await self.submit(daemon)
+                self.assertEqual(404, status)
+        self.put_queues(1)
+        await asyncio.sleep(0.3)
+        for daemon in self.daemons:
+            status, _ = await self.submit(daemon)
+            self.assertEqual(404, status)
+
+    async def test_the_dispatcher_is_killed(self) -> None:
+        """The process that orders all tasks ends under load.
+
+        Every job of the other daemons' clients has to come to its end,
+        and nothing may run twice at the same time.
+        """
+        dispatcher = self.dispatcher()
+        others = [item for item in self.daemons if item is not dispatcher]
+        load = asyncio.create_task(self._load(60, others))
+        await asyncio.sleep(0.4)
+        dispatcher.process.kill()
+        statuses = await asyncio.gather(*await load)
+        self.assertEqual({200}, set(statuses))
+        self.assert_no_overlap()
+        self.assertIsNot(dispatcher, self.dispatcher())
+
+    async def test_a_daemon_leaves_without_cutting_anyone_off(self) -> None:
+        """The dispatcher's VM gets SIGTERM while its clients wait."""
+        dispatcher = self.dispatcher()
+        waiting = [
+            asyncio.create_task(self.submit(dispatcher)) for _ in range(6)
+        ]
+        await asyncio.sleep(0.01)
+        dispatcher.process.terminate()
+        answers = await asyncio.gather(*waiting)
+        self.assertEqual({200}, {status for status, _ in answers})
+        self.assertEqual(0, await dispatcher.process.wait_for_exit())
+        others = [item for item in self.daemons if item is not dispatcher]
+        status, _ = await self.submit(others[0])
+        self.assertEqual(200, status)
+        self.assert_no_overlap()
+
+    async def test_the_dispatcher_is_stopped_and_goes_on(self) -> None:
+        """The dispatcher's process stands still for three seconds.
+
+        It wakes with orders that it had decided on; another one has given
+        them meanwhile.
+        """
+        dispatcher = self.dispatcher()
+        others = [item for item in self.daemons if item is not dispatcher]
+        load = asyncio.create_task(self._load(80, others))
+        await asyncio.sleep(0.3)
+        dispatcher.process.freeze()
+        await asyncio.sleep(3.0)
+        dispatcher.process.thaw()
+        statuses = await asyncio.gather(*await load)
+        self.assertEqual({200}, set(statuses))
+        self.assert_no_overlap()
+
+    async def test_the_store_is_away(self) -> None:
+        """Jobs are served, and a dispatcher is found, without the store."""
+        self.store.faults.status = 503
+        dispatcher = self.dispatcher()
+        others = [item for item in self.daemons if item is not dispatcher]
+        status, _ = await self.submit(others[0])
+        self.assertEqual(200, status)
+        dispatcher.process.kill()
+        status = await self.submit_again(others[0], 'f' * 16)
+        self.assertEqual(200, status)
+        self.assert_no_overlap()
+
+    async def test_lost_answers_double_nothing(self) -> None:
+        """A minion carries orders out and leaves them unanswered."""
+        self.minions[0].faults.lose_answers = True
+        statuses = await asyncio.gather(*await self._load(20, self.daemons))
+        self.assertEqual({200}, set(statuses))
+        self.assert_no_overlap()
+
+    async def test_metrics_are_served(self) -> None:
+        await self.submit(self.daemons[0])
+        url = f'http://{self.daemons[0].operators}/metrics'
+        async with self.session.get(url) as reply:
+            text = await reply.text()
+        self.assertIn('rosemaryroad_job_answers_total{end="completed"', text)
+        self.assertRegex(text, r'rosemaryroad_queues_version\{.*\} 1\b')
+
+    async def test_an_id_leads_through_the_log(self) -> None:
+        """On-call follows one job from its client to its workers."""
+        await self.submit(self.daemons[0], 'abcdef0123456789')
+        wanted = {
+            'job_received',
+            'job_handed',
+            'task_ordered',
+            'task_ended',
+            'job_settled',
+            'job_answered',
+        }
+        async with asyncio.timeout(10):
+            while not wanted <= self._events('abcdef0123456789'):
+                await asyncio.sleep(0.05)
+
+    def _events(self, job_id: str) -> set[str]:
+        return {
+            re.search(r'event=(\w+)', line)[1]
+            for line in self.log_lines().splitlines()
+            if f'request_id={job_id}' in line
+        }
--- /dev/null
+++ b/tests/standins/job_minion.py
@@ -0,0 +1,270 @@
+"""A stand-in for the users' minions: tasks under leases and fences.
+
+It is told how to misbehave by the attributes of ``MinionFaults``, and
+remembers every run, so that a test sees two at a time.
+"""
+
+import asyncio
+import json
+import time
+
+import attrs
+import sanic
+
+from tests.standins import _serve
+
+MS_PER_SECOND = 1000.0
+
+
+@attrs.define
+class MinionFaults:
+    """What the minion does wrong.
+
+    Attributes:
+        status: Answer every order with this status, 0 for never.
+        swallow: Read calls and never answer them; nothing is done.
+        lose_answers: Carry orders out and never answer them.
+        fail_all: Every run fails at once.
+        hang: Runs make no progress.
+        garble: Answer with what is no report.
+    """
+
+    status: int = 0
+    swallow: bool = False
+    lose_answers: bool = False
+    fail_all: bool = False
+    hang: bool = False
+    garble: bool = False
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a task.
+
+    Attributes:
+        task: The task's name.
+        attempt: Its attempt.
+        began: When it began, in seconds.
+        ended: When it ended, or None.
+        end: How, or ''.
+        work_ms: How long it takes.
+    """
+
+    task: str
+    attempt: int
+    began: float
+    work_ms: float
+    ended: float | None = None
+    end: str = ''
+
+
+class JobMinion:
+    """One minion.
+
+    Args:
+        minion_id: Its id.
+        millicores: Its room.
+        work_ms: How long each task takes.
+    """
+
+    def __init__(
+        self, minion_id: str, millicores: int = 64_000, work_ms: float = 30.0
+    ) -> None:
+        self.id = minion_id
+        self.millicores = millicores
+        self.work_ms = work_ms
+        self.needs_millicores = 27_000
+        self.faults = MinionFaults()
+        self.runs: list[Run] = []
+        self.fence = 0
+        self._finished: list[tuple[int, Run]] = []
+        self._barred: dict[str, int] = {}
+        self._number = 0
+        self.lease_ends = 0.0
+        self._changed = asyncio.Event()
+        self._serving: _serve.Serving | None = None
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``IP:port``."""
+        return self._serving.address
+
+    async def start(self) -> None:
+        """Listens on loopback."""
+        app = _serve.make_app(f'job-{self.id}')
+        for path, handler in (
+            ('/api/run-start', self._start),
+            ('/api/run-stop', self._stop),
+            ('/api/hold', self._hold),
+        ):
+            app.add_route(handler, path, methods=['POST'])
+        app.register_middleware(self._misbehave, 'request')
+        self._serving = await _serve.start(app)
+
+    async def stop(self) -> None:
+        """Ends it and all that runs."""
+        await self._serving.stop()
+
+    def entry(self, **fields: object) -> dict[str, object]:
+        """Returns what it writes into the store about itself."""
+        return {
+            'service': 'archive',
+            'address': self.address,
+            'zone': 'szeged',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'warmup_left_ms': 0,
+            'capacity': {'cpu': self.millicores, 'mem_mb': 9999, 'gpu': 0},
+            'labels': ['a', 'r1-1'],
+            'clock_ms': self._clock_ms(),
+            'sequence': 1,
+        } | fields
+
+    def running(self) -> list[Run]:
+        """Returns the runs that go on."""
+        self._let_lapse()
+        return [run for run in self.runs if run.ended is None]
+
+    def overlaps(self) -> list[str]:
+        """Returns the tasks that have run twice at a time here."""
+        found = []
+        for index, one in enumerate(self.runs):
+            for other in self.runs[index + 1 :]:
+                end = one.ended or time.monotonic()
+                if one.task == other.task and other.began < end:
+                    found.append(one.task)
+        return found
+
+    def _clock_ms(self) -> int:
+        return int(time.monotonic() * MS_PER_SECOND) + 5_000
+
+    async def _misbehave(
+        self, request: sanic.Request
+    ) -> sanic.HTTPResponse | None:
+        expected = request.headers.get('x-expect-instance')
+        if expected not in (None, self.id):
+            return sanic.response.text('', status=421)
+        if self.faults.swallow:
+            await asyncio.sleep(_serve.FOREVER_S)
+        if self.faults.garble:
+            return sanic.response.text('[1, 2')
+        if self.faults.status:
+            return sanic.response.text('', status=self.faults.status)
+        return None
+
+    async def _reply(
+        self, status: int = 200, **fields: object
+    ) -> sanic.HTTPResponse:
+        if self.faults.lose_answers:
+            await asyncio.sleep(_serve.FOREVER_S)
+        body = {'clock_ms': self._clock_ms(), **fields}
+        return sanic.response.raw(
+            json.dumps(body).encode(),
+            status=status,
+            content_type='application/json',
+        )
+
+    def _is_fenced(self, body: dict) -> bool:
+        fence = body.get('fence', 0)
+        if fence < self.fence:
+            return True
+        self.fence = fence
+        return False
+
+    def _prolong(self, body: dict) -> None:
+        until = body.get('deadline_ms')
+        if until is not None:
+            most = self._clock_ms() + 1_000
+            self.lease_ends = max(self.lease_ends, min(until, most))
+
+    def _let_lapse(self) -> None:
+        if self._clock_ms() <= self.lease_ends:
+            return
+        for run in self.runs:
+            if run.ended is None:
+                self._end(run, 'lapsed')
+
+    def _end(self, run: Run, end: str) -> None:
+        if run.ended is not None:
+            return
+        run.ended = time.monotonic()
+        run.end = end
+        self._barred[run.task] = max(
+            run.attempt, self._barred.get(run.task, 0)
+        )
+        self._number += 1
+        self._finished.append((self._number, run))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _start(self, request: sanic.Request) -> sanic.HTTPResponse:
+        body = request.json
+        self._let_lapse()
+        if self._is_fenced(body):
+            return await self._reply(409, reason='fence')
+        if body['deadline_ms'] <= self._clock_ms():
+            return await self._reply(409, reason='late')
+        task, attempt = body['task'], body['attempt']
+        going = self.running()
+        if any((run.task, run.attempt) == (task, attempt) for run in going):
+            return await self._reply()
+        self._prolong(body)
+        if attempt <= self._barred.get(task, 0):
+            return await self._reply(409, reason='old')
+        if (len(going) + 1) * self.needs_millicores > self.millicores:
+            return await self._reply(409, reason='room')
+        run = Run(task, attempt, time.monotonic(), self.work_ms)
+        self.runs.append(run)
+        if self.faults.fail_all:
+            self._end(run, 'failed')
+        elif not self.faults.hang:
+            asyncio.get_running_loop().call_later(
+                self.work_ms / MS_PER_SECOND, self._end, run, 'done'
+            )
+        return await self._reply()
+
+    async def _stop(self, request: sanic.Request) -> sanic.HTTPResponse:
+        body = request.json
+        if self._is_fenced(body):
+            return await self._reply(409, reason='fence')
+        task, attempt = body['task'], body['attempt']
+        self._barred[task] = max(attempt, self._barred.get(task, 0))
+        for run in self.running():
+            if (run.task, run.attempt) == (task, attempt):
+                self._end(run, 'stopped')
+        return await self._reply()
+
+    async def _hold(self, request: sanic.Request) -> sanic.HTTPResponse:
+        body = request.json
+        self._let_lapse()
+        if self._is_fenced(body):
+            return await self._reply(409, reason='fence')
+        self._prolong(body)
+        seen = body['last_seen']
+        self._finished = [item for item in self._finished if item[0] > seen]
+        if not self._finished and body.get('wait_ms'):
+            changed = self._changed
+            wait_s = body['wait_ms'] / MS_PER_SECOND
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        self._let_lapse()
+        return await self._reply(
+            running=[
+                [run.task, run.attempt, '', self._percent(run)]
+                for run in self.running()
+            ],
+            finished=[
+                [number, run.task, run.attempt, run.end, '']
+                for number, run in self._finished[:500]
+            ],
+        )
+
+    def _percent(self, run: Run) -> int:
+        if self.faults.hang:
+            return 0
+        gone_ms = (time.monotonic() - run.began) * MS_PER_SECOND
+        return min(99, int(100 * gone_ms / run.work_ms))
