--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -17,6 +17,11 @@
 PULSE_MS = 120.0
 SILENT_MS = 480.0
 
+# In larger groups the VMs that don't dispatch tell each other less often:
+# the signs grow with the square of their number. 42 VMs would send 14,000 a
+# second, each some 50 us for its two ends.
+_VMS_AT_FULL_RATE = 12
+
 # After a loss, the others' next signs tell whether they still hear the
 # dispatcher; they send one at once when they lose it themselves.
 _AGREE_MS = 60.0
@@ -88,10 +93,13 @@
     Args:
         vm: This VM.
         now: The present time.
+        cores: Its share of a processor. The dispatcher does a third of a
+            millisecond's work for each task, so the strongest come first.
     """
 
-    def __init__(self, vm: str, now: float) -> None:
+    def __init__(self, vm: str, now: float, cores: float = 1.0) -> None:
         self._vm = vm
+        self._cores = cores
         self._started_at = now
         self._ticked_at = now
         self._unsure_until = now
@@ -108,6 +116,7 @@
         self._informed = False
         self._row = LeaseRow(0, '')
         self._mend_at = now
+        self._claimed_at = now
         self._term = 0
         self._fence = 0
 
@@ -145,7 +154,7 @@
             table_version,
             self._leaving,
             self._informed,
-            tuple(sorted(self._fresh(self._ticked_at))),
+            self._cores,
         )
 
     def peers_known(self, vms: frozenset[str]) -> None:
@@ -197,12 +206,25 @@
         self._leaving = True
         self._evaluate(now)
 
+    @property
+    def stride(self) -> int:
+        """How many times as seldom VMs that don't dispatch tell another."""
+        return 1 + len(self._known) // _VMS_AT_FULL_RATE
+
+    def is_near(self, vm: str) -> bool:
+        """Tells whether signs to and from a peer come at the full rate."""
+        if self._claim is not model.Claim.NONE or vm == self._dispatcher:
+            return True
+        peer = self._peer_by_vm.get(vm)
+        pulse = peer.pulse if peer is not None else None
+        return pulse is not None and pulse.claim is not model.Claim.NONE
+
     def silent(self, now: float) -> tuple[str, ...]:
         """Returns the peers whose links stand but carry nothing."""
         return tuple(
             vm
             for vm, peer in self._peer_by_vm.items()
-            if now - peer.heard_at >= SILENT_MS
+            if now - peer.heard_at >= self._silence_ms(vm, now)
         )
 
     def tick(self, now: float) -> None:
@@ -240,6 +262,7 @@
             # row where its term is the lower one.
             return
         self._claim = model.Claim.DISPATCHER
+        self._claimed_at = now
         self._term = row.term
         self._evaluate(now)
 
@@ -263,9 +286,18 @@
         return [
             vm
             for vm, peer in self._peer_by_vm.items()
-            if now - peer.heard_at < SILENT_MS and peer.pulse is not None
+            if peer.pulse is not None
+            and now - peer.heard_at < self._silence_ms(vm, now)
         ]
 
+    def _silence_ms(self, vm: str, now: float) -> float:
+        # Peers of a VM that has just become the dispatcher may not know
+        # yet that it wants their signs more often.
+        settled = now - self._claimed_at >= SILENT_MS * self.stride
+        if self.is_near(vm) and (settled or vm == self._dispatcher):
+            return SILENT_MS
+        return SILENT_MS * self.stride
+
     def _best_other(self, now: float) -> str | None:
         best = None
         best_rank = None
@@ -297,6 +329,7 @@
         self._follow('', now)
         if self._should_deputise(now):
             self._claim = model.Claim.DEPUTY
+            self._claimed_at = now
             self._follow(self._vm, now)
 
     def _follow(self, vm: str, now: float) -> None:
@@ -344,7 +377,7 @@
             # A sign from before the loss says nothing about it; taken for
             # an objection it would cost one interval, no more.
             objects = self._lost and not self._lost_in_order
-            if objects and self._lost in pulse.hears:
+            if objects and self._lost == pulse.dispatcher:
                 continue
             without.append(vm)
         staying = [
@@ -375,11 +408,12 @@
 
     def _is_first(self, others: list[str]) -> bool:
         """Tells whether this VM comes before others that could act."""
-        return all(
-            self._vm < vm
-            for vm in others
-            if self._peer_by_vm[vm].pulse.informed
-        )
+        ours = (-self._cores, self._vm)
+        for vm in others:
+            pulse = self._peer_by_vm[vm].pulse
+            if pulse.informed and (-pulse.cores, vm) < ours:
+                return False
+        return True
 
     def _are_most(self, others: list[str]) -> bool:
         """Tells whether this VM and others are more than half of all."""
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -127,6 +127,7 @@
         self._vms: tuple[model.EntryVm, ...] = ()
         self._role = leadership.role
         self._pulse_at = 0.0
+        self._pulses = 0
         self._row_version = 0
         self._written = False
         self._tasks: set[asyncio.Task] = set()
@@ -232,7 +233,8 @@
         if wanted is not None:
             self._spawn(self._claim(wanted))
         if now - self._pulse_at >= dispatching.PULSE_MS:
-            self._pulse()
+            self._pulses += 1
+            self._pulse(self._pulses % self._leadership.stride == 0)
 
     def _check_role(self) -> None:
         role = self._leadership.role
@@ -253,10 +255,16 @@
         self._handler.role_changed(role)
         self._pulse()
 
-    def _pulse(self) -> None:
+    def _pulse(self, to_all: bool = True) -> None:
+        """Sends a sign of life.
+
+        Args:
+            to_all: Whether to those as well that needn't hear each one.
+        """
         self._pulse_at = self._clock.now()
         for vm in self._links.linked():
-            self._pulse_to(vm)
+            if to_all or self._leadership.is_near(vm):
+                self._pulse_to(vm)
 
     def _pulse_to(self, vm: str) -> None:
         table = self._queue_table()
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -92,7 +92,9 @@
         )
         self.metrics = _metrics.JobMetrics(settings.vm)
         self.queues = _queues.QueueBook()
-        self._leadership = dispatching.Leadership(settings.vm, clock.now())
+        self._leadership = dispatching.Leadership(
+            settings.vm, clock.now(), settings.cores * settings.speed
+        )
         self._home = _home.JobHome(settings.vm, clock, self._send)
         self.front = _front.JobFront(
             self.queues, self._home, self.metrics, clock
@@ -301,7 +303,7 @@
     def _workers_rest_ms(self) -> float:
         if self._dispatching.is_acting:
             return _WORKERS_REST_MS
-        return _WORKERS_IDLE_REST_MS
+        return _WORKERS_IDLE_REST_MS * self._leadership.stride
 
     def _follower(
         self,
--- a/rosemaryroad/jobserver/_settings.py
+++ b/rosemaryroad/jobserver/_settings.py
@@ -88,7 +88,9 @@
         listen: Where it listens.
         platform: Where the platform is.
         times: Times of the deployment.
-        cores: Its share of a processor core; VMs with more dispatch first.
+        cores: Its share of a processor core.
+        speed: How many times as fast as usual that core is. VMs that get
+            more done dispatch first.
         deployment: A name that links of other deployments don't know.
         log: What it logs.
     """
@@ -100,6 +102,7 @@
     platform: JobPlatform
     times: JobTimes = JobTimes()
     cores: float = 1.0
+    speed: float = 1.0
     deployment: str = 'rosemaryroad'
     log: settings_module.Log = settings_module.Log()
 
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -29,12 +29,13 @@
     Attributes:
         term: The term of the dispatcher, as the sender knows it.
         fence: The highest fence that the sender knows.
-        dispatcher: The VM that dispatches for the sender, or ''.
+        dispatcher: The VM that dispatches for the sender, whose signs of
+            life reach it, or ''.
         claim: What the sender itself claims to be.
         table_version: The version of the queues that it has in force.
         leaving: Whether it is shutting down.
         informed: Whether it knows the workers and the other entry VMs.
-        hears: The VMs whose signs of life reach it.
+        cores: Its share of a processor.
     """
 
     term: int
@@ -44,7 +45,7 @@
     table_version: int
     leaving: bool
     informed: bool
-    hears: tuple[str, ...] = ()
+    cores: float = 1.0
 
 
 @attrs.frozen
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -20,6 +20,7 @@
     tick_at: float
     role: dispatching.Role
     frozen: bool = False
+    pulses: int = 0
     reaches_table: bool = True
 
 
@@ -165,7 +166,8 @@
             vm.role = leadership.role
             self._pulse(name)
         if self.now - vm.pulse_at >= dispatching.PULSE_MS:
-            self._pulse(name)
+            vm.pulses += 1
+            self._pulse(name, vm.pulses % leadership.stride == 0)
 
     def _claim(self, name: str) -> None:
         vm = self.vm_by_name[name]
@@ -183,10 +185,12 @@
         else:
             vm.leadership.claim_lost(self.row, self.now)
 
-    def _pulse(self, name: str) -> None:
-        self.vm_by_name[name].pulse_at = self.now
+    def _pulse(self, name: str, to_all: bool = True) -> None:
+        vm = self.vm_by_name[name]
+        vm.pulse_at = self.now
         for other in list(self.vm_by_name):
-            if frozenset((name, other)) in self._linked:
+            wanted = to_all or vm.leadership.is_near(other)
+            if wanted and frozenset((name, other)) in self._linked:
                 self._pulse_to(other, name)
 
     def _pulse_to(self, receiver: str, sender: str) -> None:
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -162,3 +162,35 @@
         self.group.run(1_500)
         self.assertIs(model.Claim.DEPUTY, self.group.claims().get(informed))
         self.assertNotIn(fresh, self.group.claims())
+
+
+class LargeGroupTest(unittest.TestCase):
+    """The same among 42 VMs, which tell each other less often."""
+
+    def setUp(self) -> None:
+        names = [f'v{number:02}' for number in range(42)]
+        self.group = played_group.PlayedGroup(*names)
+        self.group.run_until_one(1_500)
+        self.group.run(3_000)
+        [self.first] = self.group.claims()
+
+    def test_nobody_is_taken_for_silent_in_a_calm(self) -> None:
+        """Signs that come less often must not pass for silence."""
+        for _ in range(40):
+            self.group.run(100)
+            for vm in self.group.vm_by_name.values():
+                silent = vm.leadership.silent(self.group.now)
+                self.assertEqual((), silent)
+
+    def test_a_killed_dispatcher_is_succeeded_within_300_ms(self) -> None:
+        self.group.kill(self.first)
+        self.group.run_until_one(300)
+        self.group.run(3_000)
+        self.assertEqual(1, len(self.group.claims()))
+
+    def test_a_silent_dispatcher_is_succeeded_within_a_second(self) -> None:
+        self.group.vm_by_name[self.first].frozen = True
+        self.group.run(1_000)
+        claims = self.group.claims()
+        claims.pop(self.first, None)
+        self.assertEqual([model.Claim.DISPATCHER], list(claims.values()))
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -69,7 +69,7 @@
         quarantined=...,
         documents=strategies.lists(_DOCUMENTS, max_size=2).map(tuple),
     )
-    | strategies.builds(model.Pulse)
+    | strategies.builds(model.Pulse, cores=_MS)
     | strategies.builds(
         model.QueuesShared,
         strategies.builds(
