--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -217,8 +217,13 @@
     ) -> None:
         """Counts an attempt that failed against its worker."""
         worker.bad += 1
-        if worker.bad < _BAD_BEFORE_SUSPENSION:
-            return
+        if worker.bad >= _BAD_BEFORE_SUSPENSION:
+            self.suspend(worker, now, f'{cause}, {worker.bad} in a row')
+
+    def suspend(
+        self, worker: _state.WorkerState, now: float, cause: str
+    ) -> None:
+        """Gives a worker no work for a while, longer each time."""
         doublings = min(worker.suspensions, _MOST_DOUBLINGS)
         pause_ms = _SUSPENSION_MS * 2**doublings
         if now < worker.suspended_until:
@@ -228,7 +233,7 @@
         self.note(
             'worker_suspended',
             worker.worker.id,
-            f'{cause}, {worker.bad} in a row, for {pause_ms:.0f} ms',
+            f'{cause}, for {pause_ms:.0f} ms',
         )
 
     def praise(self, worker: _state.WorkerState) -> None:
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -95,11 +95,18 @@
         now: The present time.
         cores: Its share of a processor. The dispatcher does a third of a
             millisecond's work for each task, so the strongest come first.
+        started: When this VM was started, by its own time of day. Where
+            VMs are restarted in turn, the one that was started last is the
+            last to leave; by their names alone the next to leave often
+            took over.
     """
 
-    def __init__(self, vm: str, now: float, cores: float = 1.0) -> None:
+    def __init__(
+        self, vm: str, now: float, cores: float = 1.0, started: int = 0
+    ) -> None:
         self._vm = vm
         self._cores = cores
+        self._started = started
         self._started_at = now
         self._ticked_at = now
         self._unsure_until = now
@@ -155,6 +162,7 @@
             self._leaving,
             self._informed,
             self._cores,
+            self._started,
         )
 
     def peers_known(self, vms: frozenset[str]) -> None:
@@ -395,7 +403,10 @@
             )
         if not self._is_ready(now):
             return False
-        if not are_all and not self._lost_in_order:
+        if self._lost_in_order:
+            # It has said so itself; no other part can have it.
+            return self._is_first(without)
+        if not are_all:
             return False
         if not self._lost and self._row.vm == self._vm:
             return True
@@ -408,10 +419,11 @@
 
     def _is_first(self, others: list[str]) -> bool:
         """Tells whether this VM comes before others that could act."""
-        ours = (-self._cores, self._vm)
+        ours = (-self._cores, -self._started, self._vm)
         for vm in others:
             pulse = self._peer_by_vm[vm].pulse
-            if pulse.informed and (-pulse.cores, vm) < ours:
+            theirs = (-pulse.cores, -pulse.started, vm)
+            if pulse.informed and theirs < ours:
                 return False
         return True
 
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -6,16 +6,17 @@
 from rosemaryroad.dispatching import _ends
 from rosemaryroad.dispatching import _state
 
-# Progress that has not moved for this long, on a task that is overdue,
-# doesn't move at all: workers tell whole per cents, and the longest tasks
-# take a few seconds, some 40 ms for each of them.
-STILL_MS = 250.0
+# A task whose progress has not moved for this share of its expected time
+# doesn't move at all: workers tell whole per cents, so that even one that
+# takes ten times as long shows some.
+_STILL_SHARE = 0.3
+_STILL_MS = 150.0
 
 # A task is overdue when it has run for this many times its expected time
 # and a little more; run times spread by 0.4 in the logarithm, so less than
 # one in a hundred sound tasks gets there.
-OVERDUE_FACTOR = 3.0
-OVERDUE_MARGIN_MS = 100.0
+_OVERDUE_FACTOR = 3.0
+_OVERDUE_MARGIN_MS = 100.0
 
 # A look costs a tenth of a millisecond here and there, an end that is told
 # late costs the room of a task for some 300 ms.
@@ -205,28 +206,22 @@
     expected = context.run_times.expected_ms(
         state.job.queue, state.job.estimate_ms
     )
-    if elapsed < overdue_after(expected):
-        return
     still_ms = now - order.moved_at
-    if still_ms >= STILL_MS:
-        context.blame(worker, now, f'no progress for {still_ms:.0f} ms')
+    if still_ms >= max(_STILL_MS, _STILL_SHARE * expected):
+        context.suspend(worker, now, f'no progress for {still_ms:.0f} ms')
         _ends.stood_still(context, worker, order, 'no progress', now)
         return
-    if order.percent <= 0:
+    overdue = elapsed >= _OVERDUE_FACTOR * expected + _OVERDUE_MARGIN_MS
+    if not overdue or order.percent <= 0:
         return
     whole = elapsed * 100.0 / order.percent
     context.run_times.slow_down(worker.worker.id, whole / expected)
     left = whole - elapsed
     task = state.tasks[order.task.index]
-    if left > _RESTART_GAIN * expected + STILL_MS and not task.failed_on:
+    if left > _RESTART_GAIN * expected + _STILL_MS and not task.failed_on:
         _ends.stood_still(context, worker, order, 'too slow', now)
 
 
-def overdue_after(expected_ms: float) -> float:
-    """Returns how long a task may run before it counts as overdue."""
-    return OVERDUE_FACTOR * expected_ms + OVERDUE_MARGIN_MS
-
-
 def look_if_overdue(
     context: _context.Context,
     worker: _state.WorkerState,
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -93,7 +93,10 @@
         self.metrics = _metrics.JobMetrics(settings.vm)
         self.queues = _queues.QueueBook()
         self._leadership = dispatching.Leadership(
-            settings.vm, clock.now(), settings.cores * settings.speed
+            settings.vm,
+            clock.now(),
+            settings.cores * settings.speed,
+            self.incarnation.started,
         )
         self._home = _home.JobHome(settings.vm, clock, self._send)
         self.front = _front.JobFront(
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -36,6 +36,7 @@
         leaving: Whether it is shutting down.
         informed: Whether it knows the workers and the other entry VMs.
         cores: Its share of a processor.
+        started: When it was started, by its own time of day.
     """
 
     term: int
@@ -46,6 +47,7 @@
     leaving: bool
     informed: bool
     cores: float = 1.0
+    started: int = 0
 
 
 @attrs.frozen
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -53,7 +53,9 @@
             informed: Whether it reaches the platform's lists and row.
             links: The VMs that it is linked to; all by default.
         """
-        leadership = dispatching.Leadership(name, self.now)
+        leadership = dispatching.Leadership(
+            name, self.now, started=int(self.now)
+        )
         self.vm_by_name[name] = _Vm(
             leadership, self.now, self.now, leadership.role
         )
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -52,6 +52,37 @@
         self.assertLessEqual(took, 150)
         self.assertNotIn(self.first, self.group.claims())
 
+    def test_a_leave_in_order_needs_no_majority(self) -> None:
+        """Half of the VMs are away while the dispatcher is restarted.
+
+        A deputy would let leases lapse for a second, lest another
+        dispatcher be at work; this one has said itself that it leaves.
+        """
+        others = [vm for vm in _SEVEN if vm != self.first]
+        for name in others[:3]:
+            self.group.kill(name)
+        self.group.run(300)
+        self.group.vm_by_name[self.first].leadership.leave(self.group.now)
+        self.group.run_until_one(150)
+        claims = set(self.group.claims().values())
+        self.assertEqual({model.Claim.DISPATCHER}, claims)
+
+    def test_restarts_in_turn_change_the_dispatcher_seldom(self) -> None:
+        """All VMs are restarted one after the other.
+
+        With each change of dispatcher all jobs change hands.
+        """
+        seen = {self.first}
+        for name in _SEVEN:
+            self.group.vm_by_name[name].leadership.leave(self.group.now)
+            self.group.run(1_000)
+            self.group.kill(name)
+            self.group.run(500)
+            self.group.add(name)
+            self.group.run(1_500)
+            seen.update(self.group.claims())
+        self.assertLessEqual(len(seen), 3)
+
     def test_a_woken_dispatcher_gives_no_order(self) -> None:
         """A dispatcher is stopped for seconds and replaced meanwhile.
 
--- /dev/null
+++ b/tests/dispatching/test_workers.py
@@ -0,0 +1,219 @@
+"""Tests of workers that fail, hang or slow down what they start."""
+
+from rosemaryroad import model
+from tests.dispatching import case
+
+
+class BadWorkerTest(case.DispatcherCase):
+    """A bad worker is found out by what becomes of its tasks."""
+
+    def test_a_task_that_stands_still_starts_elsewhere(self) -> None:
+        """A worker takes tasks, is healthy, and makes no progress.
+
+        Its tasks would end with their clients' patience, and each new one
+        would be lost there as well.
+        """
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job(estimate_ms=200.0))
+        [start] = self.starts()
+        self.answer(start)
+        self.now += 100
+        self.report(start.worker, running=((start, 0.0),))
+        self.assertEqual([], self.stops())
+        self.now += 60
+        self.report(start.worker, running=((start, 0.0),))
+        [stop] = self.stops()
+        self.answer(stop)
+        self.now += 5
+        ended = (start, model.TaskEnd.STOPPED)
+        self.report(start.worker, ended=(ended,))
+        [again] = self.starts()
+        self.assertNotEqual(start.worker, again.worker)
+        self.submit(case.make_job('job-2', tasks=3))
+        workers = {item.worker for item in self.starts()}
+        self.assertNotIn(start.worker, workers)
+
+    def test_a_task_that_moves_is_left_alone(self) -> None:
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job(estimate_ms=200.0))
+        [start] = self.starts()
+        self.answer(start)
+        for percent in (20.0, 40.0, 60.0, 80.0, 95.0):
+            self.now += 80
+            self.report(start.worker, running=((start, percent),))
+        self.assertEqual([], self.stops())
+
+    def test_a_slow_task_is_moved_where_that_gains(self) -> None:
+        """A worker takes eight times as long as the others."""
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job(estimate_ms=200.0), left_ms=6_000)
+        [start] = self.starts()
+        self.answer(start)
+        for percent in range(1, 40):
+            self.now += 20
+            self.report(start.worker, running=((start, percent * 1.25),))
+        [stop] = self.stops()
+        self.assertEqual('too slow', stop.cause)
+
+    def test_a_worker_that_fails_all_is_suspended_and_probed(self) -> None:
+        """A worker fails what it starts, and its health check is good."""
+        self.add_workers('w1', 'w2')
+        failed = 0
+        for number in range(6):
+            # Three tasks don't fit on one of the two.
+            self.submit(case.make_job(f'job-{number}', tasks=3))
+            for _ in range(8):
+                for start in self.starts():
+                    self.answer(start)
+                    self.now += 100
+                    end = model.TaskEnd.DONE
+                    if start.worker == 'w1':
+                        end = model.TaskEnd.FAILED
+                        failed += 1
+                    self.report(start.worker, ended=((start, end),))
+        self.assertLessEqual(failed, 3)
+        self.pass_time(4_100)
+        for number in range(10, 14):
+            self.submit(case.make_job(f'job-{number}'))
+        probes = [item for item in self.starts() if item.worker == 'w1']
+        self.assertEqual(1, len(probes))
+
+    def test_a_job_that_fails_everywhere_blames_nobody(self) -> None:
+        """A job can't be done, wherever it runs.
+
+        It ends by its own attempts; sound workers must not be suspended
+        for it, or its neighbours wait for room.
+        """
+        self.add_workers('w1', 'w2', 'w3')
+        for number in range(4):
+            self.submit(case.make_job(f'job-{number}'))
+            for _ in range(2):
+                [start] = self.starts()
+                self.answer(start)
+                ended = (start, model.TaskEnd.FAILED)
+                self.report(start.worker, ended=(ended,))
+        settled = self.settled()
+        self.assertEqual(4, len(settled))
+        self.assertEqual({model.JobEnd.FAILED}, {end for _, end in settled})
+        self.submit(case.make_job('job-9', tasks=6))
+        self.assertEqual(6, len(self.starts()))
+
+    def test_a_leaving_worker_gets_nothing_more(self) -> None:
+        self.add_workers('w1', 'w2')
+        self.list_workers(
+            case.make_worker('w1', leaving=True), case.make_worker('w2')
+        )
+        self.submit(case.make_job(tasks=4))
+        self.assertEqual({'w2'}, {item.worker for item in self.starts()})
+
+
+class LostOrderTest(case.DispatcherCase):
+    """An order without an answer frees its task only when that is safe."""
+
+    def _lose(self):
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job())
+        [start] = self.starts()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        return start
+
+    def test_a_start_that_was_not_carried_out(self) -> None:
+        """The order may be carried out seconds later.
+
+        Started elsewhere at once, the task would run twice then. It is
+        stopped first, and only a stop that was answered counts.
+        """
+        start = self._lose()
+        self.now += 5
+        self.report(start.worker)
+        [stop] = self.stops()
+        self.assertEqual([], self.starts())
+        self.answer(stop, model.OrderResult.UNKNOWN)
+        self.pass_time(250)
+        [stop] = self.stops()
+        self.assertEqual([], self.starts())
+        self.answer(stop)
+        self.now += 5
+        self.report(start.worker)
+        [again] = self.starts()
+        self.assertEqual(2, again.attempt)
+
+    def test_a_start_that_was_carried_out(self) -> None:
+        """Only the answer was lost; the task runs and stays."""
+        start = self._lose()
+        self.now += 5
+        self.report(start.worker, running=((start, 1.0),))
+        self.assertEqual([], self.stops())
+        self.report(start.worker, ended=((start, model.TaskEnd.DONE),))
+        self.assertEqual([('job-1', model.JobEnd.COMPLETED)], self.settled())
+
+    def test_a_worker_in_doubt_gets_no_more(self) -> None:
+        """A failure domain is cut off, and orders there vanish.
+
+        Each order sent there blocks its task for a second.
+        """
+        start = self._lose()
+        self.submit(case.make_job('job-2', tasks=4))
+        workers = {item.worker for item in self.starts()}
+        self.assertNotIn(start.worker, workers)
+
+    def test_a_silent_workers_tasks_start_elsewhere_once_lapsed(self) -> None:
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job(), left_ms=6_000)
+        [start] = self.starts()
+        self.answer(start)
+        self.dispatcher.held(start.worker, self.now)
+        self.take(self.dispatcher.silent(start.worker, 'cut', self.now))
+        self.pass_time(1_050)
+        self.assertEqual([], self.starts())
+        self.pass_time(60)
+        self.assertEqual(1, len(self.starts()))
+
+    def test_a_late_report_does_not_unsee_a_start(self) -> None:
+        """A report made before a start's answer comes after it.
+
+        Taken for news, the task would seem to have vanished and be started
+        a second time.
+        """
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job())
+        [start] = self.starts()
+        before = self.now
+        self.now += 5
+        self.answer(start)
+        now, self.now = self.now, before
+        self.report(start.worker)
+        self.now = now
+        self.assertEqual([], self.starts())
+
+
+class RefusalTest(case.DispatcherCase):
+    """What can't be served is refused at once, and truly."""
+
+    def test_what_fits_nowhere(self) -> None:
+        self.add_workers('w1')
+        self.submit(case.make_job(cores=100.0))
+        self.assertEqual([('job-1', model.JobEnd.NOT_RUN)], self.settled())
+
+    def test_what_has_started_is_never_called_not_run(self) -> None:
+        """A worker refused the only order; a second one may follow."""
+        self.add_workers('w1')
+        self.submit(case.make_job(), left_ms=300)
+        [start] = self.starts()
+        self.answer(start, model.OrderResult.NO_ROOM)
+        self.list_workers()
+        self.pass_time(400)
+        self.assertEqual([('job-1', model.JobEnd.GIVEN_UP)], self.settled())
+
+    def test_what_waited_too_long_is_refused_in_time(self) -> None:
+        """All room is taken for longer than a client waits.
+
+        Held to the end, the job would be lost to its client as well.
+        """
+        self.add_workers('w1')
+        self.submit(case.make_job('job-0', tasks=2, estimate_ms=5_000.0))
+        self.submit(case.make_job('job-1'), left_ms=2_000)
+        self.pass_time(850)
+        self.assertEqual([], self.settled())
+        self.pass_time(100)
+        self.assertEqual([('job-1', model.JobEnd.NOT_RUN)], self.settled())
