--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -224,10 +224,10 @@
         self, worker: _state.WorkerState, now: float, cause: str
     ) -> None:
         """Gives a worker no work for a while, longer each time."""
+        if now < worker.suspended_until or not self._can_spare(now):
+            return
         doublings = min(worker.suspensions, _MOST_DOUBLINGS)
         pause_ms = _SUSPENSION_MS * 2**doublings
-        if now < worker.suspended_until:
-            return
         worker.suspended_until = now + pause_ms
         worker.suspensions += 1
         self.note(
@@ -236,6 +236,15 @@
             f'{cause}, for {pause_ms:.0f} ms',
         )
 
+    def _can_spare(self, now: float) -> bool:
+        # Where most workers seem bad, it is the tasks, or the estimates of
+        # them; with all workers suspended nobody would be served.
+        away = sum(
+            worker.suspended_until > now
+            for worker in self.workers_by_id.values()
+        )
+        return 2 * (away + 1) <= len(self.workers_by_id)
+
     def praise(self, worker: _state.WorkerState) -> None:
         """Takes a worker back whose attempt ended well."""
         worker.bad = 0
--- a/rosemaryroad/dispatching/_ends.py
+++ b/rosemaryroad/dispatching/_ends.py
@@ -24,6 +24,7 @@
             job.queue, job.estimate_ms, worker.worker.id, took
         )
         context.praise(worker)
+        worker.proved_at = now
         task_done(context, state, order.task.index, now)
     elif end is model.TaskEnd.FAILED:
         _failed(context, worker, order, state, now)
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -12,11 +12,13 @@
 _STILL_SHARE = 0.3
 _STILL_MS = 150.0
 
-# A task is overdue when it has run for this many times its expected time
-# and a little more; run times spread by 0.4 in the logarithm, so less than
-# one in a hundred sound tasks gets there.
-_OVERDUE_FACTOR = 3.0
-_OVERDUE_MARGIN_MS = 100.0
+# A task whose progress shows that it takes so many times as long as expected
+# is slow: what is expected is off by 0.3 in the logarithm, so that less than
+# one sound task in a thousand gets there. Earlier in its run, whole per cents
+# and the moments of starting tell too little.
+_SLOW_FACTOR = 3.0
+_SLOW_AFTER_SHARE = 0.3
+_SLOW_AFTER_MS = 60.0
 
 # A look costs a tenth of a millisecond here and there, an end that is told
 # late costs the room of a task for some 300 ms.
@@ -24,7 +26,12 @@
 _LOOK_MARGIN_MS = 30.0
 _LOOK_AGAIN_MS = 100.0
 
-# An overdue task that moves is worth starting again elsewhere if what is
+# A worker that has shown no ordinary pace for this long is asked in the
+# middle of a task; the others prove theirs several times a second.
+_UNPROVED_MS = 300.0
+_UNPROVED_SHARE = 0.4
+
+# A slow task is worth starting again elsewhere if what is
 # left of it takes more than twice a whole run there.
 _RESTART_GAIN = 2.0
 
@@ -211,11 +218,15 @@
         context.suspend(worker, now, f'no progress for {still_ms:.0f} ms')
         _ends.stood_still(context, worker, order, 'no progress', now)
         return
-    overdue = elapsed >= _OVERDUE_FACTOR * expected + _OVERDUE_MARGIN_MS
-    if not overdue or order.percent <= 0:
+    early = elapsed < max(_SLOW_AFTER_MS, _SLOW_AFTER_SHARE * expected)
+    if early or order.percent <= 0:
         return
     whole = elapsed * 100.0 / order.percent
-    context.run_times.slow_down(worker.worker.id, whole / expected)
+    if whole < _SLOW_FACTOR * expected:
+        worker.proved_at = now
+        return
+    factor = whole / expected
+    context.suspend(worker, now, f'takes {factor:.1f} times as long')
     left = whole - elapsed
     task = state.tasks[order.task.index]
     if left > _RESTART_GAIN * expected + _STILL_MS and not task.failed_on:
@@ -239,10 +250,10 @@
     expected = context.run_times.expected_ms(
         state.job.queue, state.job.estimate_ms
     )
-    due = (
-        _LOOK_FACTOR * expected * context.run_times.slowness(worker.worker.id)
-    )
-    if now - order.at < due + _LOOK_MARGIN_MS:
+    share = _LOOK_FACTOR * context.run_times.slowness(worker.worker.id)
+    if now - worker.proved_at > _UNPROVED_MS:
+        share = _UNPROVED_SHARE
+    if now - order.at < share * expected + _LOOK_MARGIN_MS:
         return False
     if now - worker.looked_at < _LOOK_AGAIN_MS:
         return False
--- a/rosemaryroad/dispatching/_run_times.py
+++ b/rosemaryroad/dispatching/_run_times.py
@@ -65,12 +65,6 @@
         off = took - slowness - estimate - times.bias
         times.bias += _QUEUE_GAIN * off
 
-    def slow_down(self, worker: str, factor: float) -> None:
-        """Notes that a worker is seen to take so many times as long."""
-        known = self._slowness_by_worker.get(worker, 0.0)
-        seen = math.log(max(1.0, factor))
-        self._slowness_by_worker[worker] = max(known, seen)
-
     def forget(self, worker: str) -> None:
         """Forgets a worker that is gone."""
         self._slowness_by_worker.pop(worker, None)
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -144,6 +144,7 @@
         silent_since: Since when it gives no answer, or None.
         held_at: When a call that prolongs its leases was last sent.
         looked_at: When it was last asked out of turn.
+        proved_at: When a task there was last seen at an ordinary pace.
         taken_up_at: When it first told what it runs, or None.
         bad: Attempts in a row that it failed.
         suspended_until: Until when it gets no work.
@@ -166,6 +167,7 @@
     silent_since: float | None = None
     held_at: float = 0.0
     looked_at: float = 0.0
+    proved_at: float = 0.0
     bad: int = 0
     suspended_until: float = 0.0
     suspensions: int = 0
--- a/tests/dispatching/test_workers.py
+++ b/tests/dispatching/test_workers.py
@@ -1,5 +1,6 @@
 """Tests of workers that fail, hang or slow down what they start."""
 
+from rosemaryroad import dispatching
 from rosemaryroad import model
 from tests.dispatching import case
 
@@ -217,3 +218,70 @@
         self.assertEqual([], self.settled())
         self.pass_time(100)
         self.assertEqual([('job-1', model.JobEnd.NOT_RUN)], self.settled())
+
+
+class SlowWorkerTest(case.DispatcherCase):
+    """A worker that takes several times as long is found out early."""
+
+    def _run_slowly(self, share: float):
+        """Starts a task and has its worker tell of it after a while."""
+        self.add_workers('w1', 'w2', 'w3')
+        self.submit(case.make_job(estimate_ms=200.0), left_ms=6_000)
+        [start] = self.starts()
+        self.answer(start)
+        self.now += 100
+        self.report(start.worker, running=((start, 50.0 * share),))
+        return start
+
+    def test_it_is_seen_by_the_progress_of_its_tasks(self) -> None:
+        """A worker slows down to a fifth.
+
+        Found out only when its task is overdue, after three times the
+        expected time, the job has missed its objective.
+        """
+        start = self._run_slowly(0.2)
+        [stop] = self.stops()
+        self.assertEqual('too slow', stop.cause)
+        self.submit(case.make_job('job-2', tasks=5))
+        workers = {item.worker for item in self.starts()}
+        self.assertNotIn(start.worker, workers)
+
+    def test_a_task_that_is_a_little_slow_goes_on(self) -> None:
+        self._run_slowly(0.5)
+        self.assertEqual([], self.stops())
+
+    def test_a_worker_that_has_not_ended_anything_is_asked(self) -> None:
+        """Reports come with ends, and a slow worker has none to tell."""
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job(estimate_ms=400.0), left_ms=6_000)
+        [start] = self.starts()
+        self.answer(start)
+        self.pop(dispatching.LookAt)
+        self.pass_time(330)
+        looks = {item.worker for item in self.pop(dispatching.LookAt)}
+        self.assertEqual({start.worker}, looks)
+
+    def test_no_more_than_half_are_suspended(self) -> None:
+        """All tasks take far longer than their clients estimate.
+
+        Were every worker suspended for that, nobody would be served.
+        """
+        ids = ['w1', 'w2', 'w3', 'w4']
+        self.add_workers(*ids)
+        for number in range(4):
+            self.submit(
+                case.make_job(f'job-{number}', tasks=2), left_ms=60_000
+            )
+        starts = self.starts()
+        self.now += 100
+        for start in starts:
+            self.answer(start)
+        for worker in ids:
+            mine = [item for item in starts if item.worker == worker]
+            self.report(worker, running=tuple((item, 3.0) for item in mine))
+        noted = [
+            item.subject
+            for item in self.pop(dispatching.Noted)
+            if item.event == 'worker_suspended'
+        ]
+        self.assertEqual(2, len(set(noted)))
