--- /dev/null
+++ b/rosemaryroad/dispatching/_checks.py
@@ -0,0 +1,41 @@
+"""What is due at a worker by the time alone."""
+
+from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _context
+from rosemaryroad.dispatching import _handover
+from rosemaryroad.dispatching import _reports
+from rosemaryroad.dispatching import _state
+
+# An order to stop that gets no answer is repeated this often; an answer
+# takes a few milliseconds.
+_STOP_AGAIN_MS = 200.0
+
+
+def check_worker(
+    context: _context.Context, worker: _state.WorkerState, now: float
+) -> None:
+    """Does what is due at a worker by the time alone."""
+    if (
+        worker.silent_since is not None
+        and now - worker.held_at > context.limits.lapse_ms
+    ):
+        context.drop_orders(worker, 'silent until the leases lapsed', now)
+        return
+    if not context.is_deputy:
+        _handover.stop_unclaimed(context, worker, now)
+    looked = False
+    for order in list(worker.orders_by_key.values()):
+        if (
+            order.phase is _state.OrderPhase.STOPPING
+            and now - order.stop_sent_at >= _STOP_AGAIN_MS
+        ):
+            context.stop(worker, order, 'stop unanswered', now)
+        elif order.phase in (
+            _state.OrderPhase.IN_DOUBT,
+            _state.OrderPhase.STOPPED,
+        ):
+            if now - order.stop_sent_at >= _STOP_AGAIN_MS:
+                order.stop_sent_at = now
+                context.ask(_actions.LookAt(worker.worker.id))
+        elif not looked:
+            looked = _reports.look_if_overdue(context, worker, order, now)
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -4,29 +4,14 @@
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _answers
+from rosemaryroad.dispatching import _checks
 from rosemaryroad.dispatching import _context
+from rosemaryroad.dispatching import _handover
 from rosemaryroad.dispatching import _queue
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
 
-# An order to stop that gets no answer is repeated this often; an answer
-# takes a few milliseconds.
-_STOP_AGAIN_MS = 200.0
-
-# A dispatcher that has lost a home stops that home's tasks. It notices the
-# loss when the home does, give or take two signs of life.
-_OTHER_STOPS_MS = 300.0
-
-# Homes hand their jobs to a new dispatcher as soon as they hear of it, some
-# milliseconds after it has; what runs for none of them runs for nobody. It
-# must be gone before its own dispatcher, if that lives on behind a cut,
-# takes it for lapsed.
-_CLAIM_MS = 150.0
-
-# How far the numbers of attempts jump when a worker knows a higher one: a
-# job that came again has forgotten how often it was started before.
-_ATTEMPT_JUMP = 16
-
 _Actions = list[_actions.Action]
 
 
@@ -78,13 +63,13 @@
             if known.started:
                 _tell_all(context, known)
             return context.take_actions()
-        state = _make_state(home, message, now)
+        state = _handover.make_state(home, message, now)
         context.jobs_by_id[message.job.id] = state
         context.waiting.add(state, now)
         if state.left == 0:
             context.settle(state, model.JobEnd.COMPLETED, 'done before', now)
             return context.take_actions()
-        self._find_earlier(state, message.placed, now)
+        _handover.find_earlier(context, state, message.placed, now)
         if not state.started and not _queue.could_ever_run(context, state):
             _queue.refuse(context, state, 'no worker is large enough', now)
         _queue.fill(context, now)
@@ -203,7 +188,7 @@
             return []
         order = worker.orders_by_key.get((start.task, start.attempt))
         if order is not None:
-            self._take_start(worker, order, reply, now)
+            _answers.take_start(self._context, worker, order, reply, now)
         elif reply.result is model.OrderResult.DONE:
             # It was given up for lapsed, and has begun all the same.
             late = _state.Order(
@@ -233,9 +218,9 @@
         """Does what is due by the time alone; to be called often."""
         context = self._context
         for worker in list(context.workers_by_id.values()):
-            self._check_worker(worker, now)
+            _checks.check_worker(context, worker, now)
         for state in context.expecting:
-            _stop_expecting(state, now)
+            _handover.stop_expecting(state, now)
         context.expecting = [
             state for state in context.expecting if state.unseen
         ]
@@ -254,147 +239,6 @@
         if not state.homes:
             self._context.forget_job(state, cause, now)
 
-    def _find_earlier(
-        self,
-        state: _state.JobState,
-        placed: tuple[model.Placement, ...],
-        now: float,
-    ) -> None:
-        context = self._context
-        for task in state.tasks:
-            orders = list(context.orders_by_task.get(task.id, {}).items())
-            for worker_id, order in orders:
-                self._adopt(state, worker_id, order, now)
-        if state.started:
-            self._expect_reports(state, placed, now)
-
-    def _expect_reports(
-        self,
-        state: _state.JobState,
-        placed: tuple[model.Placement, ...],
-        now: float,
-    ) -> None:
-        """Has all workers asked before the job's tasks start again.
-
-        The dispatcher before this one may still have prolonged the leases
-        of those that it placed tasks on, whether or not they can be
-        reached from here.
-        """
-        context = self._context
-        context.expecting.append(state)
-        unstopped = now + _OTHER_STOPS_MS
-        lapsed = now + context.limits.lapse_ms
-        for key in context.workers_by_id:
-            state.unseen[key] = unstopped
-            context.ask(_actions.LookAt(key))
-        for item in placed:
-            if state.tasks[item.index].phase is _state.Phase.WAITING:
-                state.unseen[item.worker] = lapsed
-
-    def _adopt(
-        self,
-        state: _state.JobState,
-        worker_id: str,
-        order: _state.Order,
-        now: float,
-    ) -> None:
-        worker = self._context.workers_by_id[worker_id]
-        if order.phase is not _state.OrderPhase.RUNNING:
-            return
-        if not _reports.adopt(state, worker, order):
-            self._context.stop(worker, order, 'a second attempt', now)
-
-    def _take_start(
-        self,
-        worker: _state.WorkerState,
-        order: _state.Order,
-        reply: model.OrderReply,
-        now: float,
-    ) -> None:
-        result = reply.result
-        context = self._context
-        order.since_clock = max(order.since_clock, reply.worker_clock)
-        if result is model.OrderResult.DONE:
-            if order.phase in (
-                _state.OrderPhase.STARTING,
-                _state.OrderPhase.IN_DOUBT,
-            ):
-                order.phase = _state.OrderPhase.RUNNING
-            return
-        if result is model.OrderResult.UNKNOWN:
-            if order.phase is _state.OrderPhase.STARTING:
-                order.phase = _state.OrderPhase.IN_DOUBT
-                worker.unanswered_at = now
-                order.stop_sent_at = now
-                context.ask(_actions.LookAt(worker.worker.id))
-            return
-        if order.phase is _state.OrderPhase.RUNNING:
-            # A report has shown it at work; an answer to a repetition.
-            return
-        context.remove_order(worker, order)
-        context.requeue(order, now)
-        self._take_refusal(worker, order, result, now)
-
-    def _take_refusal(
-        self,
-        worker: _state.WorkerState,
-        order: _state.Order,
-        result: model.OrderResult,
-        now: float,
-    ) -> None:
-        context = self._context
-        if result is model.OrderResult.STALE_ATTEMPT:
-            if order.job is not None:
-                task = order.job.tasks[order.task.index]
-                task.attempt += _ATTEMPT_JUMP
-        elif result is model.OrderResult.UNHEALTHY:
-            context.blame(worker, now, 'refused as unhealthy')
-            worker.full = True
-        elif result is model.OrderResult.WRONG_LIFE:
-            worker.listed = False
-            context.drop_orders(worker, 'another life answers', now)
-        else:
-            # Until it has told what it runs, another try would only be
-            # refused again.
-            worker.full = True
-            context.ask(_actions.LookAt(worker.worker.id))
-
-    def _check_worker(self, worker: _state.WorkerState, now: float) -> None:
-        context = self._context
-        if (
-            worker.silent_since is not None
-            and now - worker.held_at > context.limits.lapse_ms
-        ):
-            context.drop_orders(worker, 'silent until the leases lapsed', now)
-            return
-        if not context.is_deputy:
-            self._stop_unclaimed(worker, now)
-        looked = False
-        for order in list(worker.orders_by_key.values()):
-            if (
-                order.phase is _state.OrderPhase.STOPPING
-                and now - order.stop_sent_at >= _STOP_AGAIN_MS
-            ):
-                context.stop(worker, order, 'stop unanswered', now)
-            elif order.phase in (
-                _state.OrderPhase.IN_DOUBT,
-                _state.OrderPhase.STOPPED,
-            ):
-                if now - order.stop_sent_at >= _STOP_AGAIN_MS:
-                    order.stop_sent_at = now
-                    context.ask(_actions.LookAt(worker.worker.id))
-            elif not looked:
-                looked = _reports.look_if_overdue(context, worker, order, now)
-
-    def _stop_unclaimed(self, worker: _state.WorkerState, now: float) -> None:
-        taken_up_at = worker.taken_up_at
-        if taken_up_at is None or now - taken_up_at < _CLAIM_MS:
-            return
-        for order in list(worker.orders_by_key.values()):
-            found = order.at == taken_up_at and order.job is None
-            if found and order.phase is _state.OrderPhase.RUNNING:
-                self._context.stop(worker, order, 'nobody claims it', now)
-
     def _drop_unlisted(self) -> None:
         workers = self._context.workers_by_id
         for key, worker in list(workers.items()):
@@ -403,37 +247,6 @@
                 self._context.run_times.forget(key)
 
 
-def _make_state(
-    home: str, message: model.JobSubmitted, now: float
-) -> _state.JobState:
-    job = message.job
-    tasks = [
-        _state.TaskState(model.TaskId(job.id, index), attempt=message.attempt)
-        for index in range(job.tasks)
-    ]
-    for index in message.done:
-        if 0 <= index < len(tasks):
-            tasks[index].phase = _state.Phase.DONE
-    left = sum(task.phase is _state.Phase.WAITING for task in tasks)
-    return _state.JobState(
-        job=job,
-        homes={home},
-        arrived=now - message.age_ms,
-        came_at=now,
-        deadline=now + message.left_ms,
-        tasks=tasks,
-        started=message.attempt > 0,
-        waiting=left,
-        left=left,
-    )
-
-
-def _stop_expecting(state: _state.JobState, now: float) -> None:
-    for key, until in list(state.unseen.items()):
-        if now >= until:
-            del state.unseen[key]
-
-
 def _tell_all(context: _context.Context, state: _state.JobState) -> None:
     news = context.news_of(state)
     for task in state.tasks:
--- a/rosemaryroad/dispatching/_ends.py
+++ b/rosemaryroad/dispatching/_ends.py
@@ -18,11 +18,14 @@
     if state is None or context.jobs_by_id.get(state.job.id) is not state:
         return
     if end is model.TaskEnd.DONE:
-        took = now - order.at
-        job = state.job
-        context.run_times.record(
-            job.queue, job.estimate_ms, worker.worker.id, took
-        )
+        if not order.adopted:
+            job = state.job
+            context.run_times.record(
+                job.queue,
+                job.estimate_ms,
+                worker.worker.id,
+                now - order.at,
+            )
         context.praise(worker)
         worker.proved_at = now
         task_done(context, state, order.task.index, now)
--- /dev/null
+++ b/rosemaryroad/dispatching/_handover.py
@@ -0,0 +1,123 @@
+"""Jobs and attempts that come over from another dispatcher."""
+
+from rosemaryroad import model
+from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _context
+from rosemaryroad.dispatching import _reports
+from rosemaryroad.dispatching import _state
+
+# A dispatcher that has lost a home stops that home's tasks. It notices the
+# loss when the home does, give or take two signs of life.
+_OTHER_STOPS_MS = 300.0
+
+# Homes hand their jobs to a new dispatcher as soon as they hear of it, some
+# milliseconds after it has; what runs for none of them runs for nobody. It
+# must be gone before its own dispatcher, if that lives on behind a cut,
+# takes it for lapsed.
+_CLAIM_MS = 150.0
+
+
+def make_state(
+    home: str, message: model.JobSubmitted, now: float
+) -> _state.JobState:
+    """Makes the state of a job that a home hands over."""
+    job = message.job
+    tasks = [
+        _state.TaskState(model.TaskId(job.id, index), attempt=message.attempt)
+        for index in range(job.tasks)
+    ]
+    for index in message.done:
+        if 0 <= index < len(tasks):
+            tasks[index].phase = _state.Phase.DONE
+    left = sum(task.phase is _state.Phase.WAITING for task in tasks)
+    return _state.JobState(
+        job=job,
+        homes={home},
+        arrived=now - message.age_ms,
+        came_at=now,
+        deadline=now + message.left_ms,
+        tasks=tasks,
+        started=message.attempt > 0,
+        waiting=left,
+        left=left,
+    )
+
+
+def find_earlier(
+    context: _context.Context,
+    state: _state.JobState,
+    placed: tuple[model.Placement, ...],
+    now: float,
+) -> None:
+    """Looks for attempts of a job that came from another dispatcher.
+
+    Args:
+        context: All jobs and workers.
+        state: The job.
+        placed: Where its home knows tasks of it to have been placed.
+        now: The present time.
+    """
+    for task in state.tasks:
+        orders = list(context.orders_by_task.get(task.id, {}).items())
+        for worker_id, order in orders:
+            _adopt(context, state, worker_id, order, now)
+    if state.started:
+        _expect_reports(context, state, placed, now)
+
+
+def _expect_reports(
+    context: _context.Context,
+    state: _state.JobState,
+    placed: tuple[model.Placement, ...],
+    now: float,
+) -> None:
+    """Has all workers asked before the job's tasks start again.
+
+    The dispatcher before this one may still have prolonged the leases
+    of those that it placed tasks on, whether or not they can be
+    reached from here.
+    """
+    context.expecting.append(state)
+    unstopped = now + _OTHER_STOPS_MS
+    lapsed = now + context.limits.lapse_ms
+    for key in context.workers_by_id:
+        state.unseen[key] = unstopped
+        context.ask(_actions.LookAt(key))
+    for item in placed:
+        known = item.index < len(state.tasks)
+        if known and state.tasks[item.index].phase is _state.Phase.WAITING:
+            state.unseen[item.worker] = lapsed
+
+
+def _adopt(
+    context: _context.Context,
+    state: _state.JobState,
+    worker_id: str,
+    order: _state.Order,
+    now: float,
+) -> None:
+    worker = context.workers_by_id[worker_id]
+    if order.phase is not _state.OrderPhase.RUNNING:
+        return
+    if not _reports.adopt(state, worker, order):
+        context.stop(worker, order, 'a second attempt', now)
+
+
+def stop_expecting(state: _state.JobState, now: float) -> None:
+    """Gives up waiting for workers whose time has passed."""
+    for key, until in list(state.unseen.items()):
+        if now >= until:
+            del state.unseen[key]
+
+
+def stop_unclaimed(
+    context: _context.Context, worker: _state.WorkerState, now: float
+) -> None:
+    """Stops what a worker ran when it was taken up, and no home claims."""
+    taken_up_at = worker.taken_up_at
+    if taken_up_at is None or now - taken_up_at < _CLAIM_MS:
+        return
+    for order in list(worker.orders_by_key.values()):
+        found = order.at == taken_up_at and order.job is None
+        if found and order.phase is _state.OrderPhase.RUNNING:
+            context.stop(worker, order, 'nobody claims it', now)
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -169,6 +169,7 @@
     worker.remove(order)
     order.needs = state.job.needs
     order.job = state
+    order.adopted = True
     worker.add(order)
     task.phase = _state.Phase.PLACED
     task.attempt = max(task.attempt, order.attempt)
@@ -218,6 +219,8 @@
         context.suspend(worker, now, f'no progress for {still_ms:.0f} ms')
         _ends.stood_still(context, worker, order, 'no progress', now)
         return
+    if order.adopted:
+        return
     early = elapsed < max(_SLOW_AFTER_MS, _SLOW_AFTER_SHARE * expected)
     if early or order.percent <= 0:
         return
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -41,6 +41,8 @@
         percent: The progress that the worker told last.
         moved_at: When that progress last changed.
         stop_sent_at: When it was last told to stop.
+        adopted: Whether another dispatcher started it, so that it is not
+            known how long it has run.
     """
 
     task: model.TaskId
@@ -53,6 +55,7 @@
     percent: float = 0.0
     moved_at: float = 0.0
     stop_sent_at: float = 0.0
+    adopted: bool = False
 
 
 @attrs.define(eq=False)
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -1,5 +1,6 @@
 """Which entry VMs there are, who dispatches, and what they tell."""
 
+import abc
 import asyncio
 import collections.abc
 import json
@@ -69,21 +70,26 @@
         raise errors.InvalidRequest('no sessions are served here')
 
 
-class MembersHandler:
+class MembersHandler(abc.ABC):
     """What follows from what the members tell."""
 
+    @abc.abstractmethod
     def role_changed(self, role: dispatching.Role) -> None:
         """Another VM dispatches, or this one does."""
 
+    @abc.abstractmethod
     def job_message(self, vm: str, message: model.JobMessage) -> None:
         """A VM tells something about a job."""
 
+    @abc.abstractmethod
     def peer_lost(self, vm: str) -> None:
         """A VM can't be reached."""
 
+    @abc.abstractmethod
     def queues_shared(self, table: model.QueueTable) -> None:
         """A VM knows a version of the queues."""
 
+    @abc.abstractmethod
     def workers_shared(self, workers: tuple[model.Worker, ...]) -> None:
         """A VM knows the workers, and this one does not."""
 
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -1,5 +1,6 @@
 """Holding one worker: its leases, its reports, and orders to it."""
 
+import abc
 import asyncio
 import collections.abc
 import logging
@@ -33,42 +34,54 @@
 _MAX_BACKOFF_MS = 400.0
 
 
-class SessionHandler(typing.Protocol):
+class SessionHandler(abc.ABC):
     """Whoever decides about the worker."""
 
+    @abc.abstractmethod
     def fence(self) -> int:
         """Returns the fence of orders."""
 
+    @abc.abstractmethod
     def may_order(self) -> bool:
         """Tells whether orders may go out now."""
 
+    @abc.abstractmethod
     def is_busy(self, worker: str) -> bool:
         """Tells whether anything runs at the worker."""
 
+    @abc.abstractmethod
     def call_lost(self, worker: str) -> None:
         """Takes in that a call got no answer."""
 
+    @abc.abstractmethod
     def is_lossy(self) -> bool:
         """Tells whether answers of several workers got lost lately."""
 
+    @abc.abstractmethod
     def may_prolong(self, worker: str) -> bool:
         """Tells whether the worker's leases may be prolonged."""
 
+    @abc.abstractmethod
     def is_wanted(self, start: dispatching.StartTask) -> bool:
         """Tells whether an order to start still stands."""
 
+    @abc.abstractmethod
     def held(self, worker: str) -> None:
         """Notes that a call which prolongs leases goes out."""
 
+    @abc.abstractmethod
     def reported(self, worker: str, report: model.WorkerReport) -> None:
         """Takes in a report."""
 
+    @abc.abstractmethod
     def silent(self, worker: str, cause: str) -> None:
         """Takes in that there was no answer."""
 
+    @abc.abstractmethod
     def replaced(self, worker: str) -> None:
         """Takes in that this life of the worker has ended."""
 
+    @abc.abstractmethod
     def fenced(self, worker: str) -> None:
         """Takes in that the worker has seen a higher fence."""
 
