--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -163,6 +163,7 @@
             self._informed,
             self._cores,
             self._started,
+            self._is_settled(self._ticked_at),
         )
 
     def peers_known(self, vms: frozenset[str]) -> None:
@@ -419,14 +420,20 @@
 
     def _is_first(self, others: list[str]) -> bool:
         """Tells whether this VM comes before others that could act."""
-        ours = (-self._cores, -self._started, self._vm)
+        settled = self._is_settled(self._ticked_at)
+        ours = (not settled, -self._cores, -self._started, self._vm)
         for vm in others:
             pulse = self._peer_by_vm[vm].pulse
-            theirs = (-pulse.cores, -pulse.started, vm)
+            theirs = (not pulse.settled, -pulse.cores, -pulse.started, vm)
             if pulse.informed and theirs < ours:
                 return False
         return True
 
+    def _is_settled(self, now: float) -> bool:
+        # One that has just started waits for its links before it acts;
+        # where it stands first, the others would wait for it.
+        return now - self._started_at >= 2 * _START_MS
+
     def _are_most(self, others: list[str]) -> bool:
         """Tells whether this VM and others are more than half of all."""
         return 2 * (len(others) + 1) > len(self._known | {self._vm})
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -37,6 +37,7 @@
         informed: Whether it knows the workers and the other entry VMs.
         cores: Its share of a processor.
         started: When it was started, by its own time of day.
+        settled: Whether it has been up for a while.
     """
 
     term: int
@@ -48,6 +49,7 @@
     informed: bool
     cores: float = 1.0
     started: int = 0
+    settled: bool = True
 
 
 @attrs.frozen
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -194,6 +194,22 @@
         self.assertIs(model.Claim.DEPUTY, self.group.claims().get(informed))
         self.assertNotIn(fresh, self.group.claims())
 
+    def test_a_vm_just_started_holds_nobody_up(self) -> None:
+        """A VM comes back just as its failure domain is cut off.
+
+        It waits for its links; the VM beside it has to act at once, or
+        their clients are without a dispatcher for another second.
+        """
+        others = [vm for vm in _SEVEN if vm != self.first]
+        fresh, old = others[-2:]
+        self.group.kill(fresh)
+        self.group.run(2_000)
+        self.group.add(fresh)
+        self.group.run(100)
+        self.group.part(fresh, old)
+        self.group.run(800)
+        self.assertIs(model.Claim.DEPUTY, self.group.claims().get(old))
+
 
 class LargeGroupTest(unittest.TestCase):
     """The same among 42 VMs, which tell each other less often."""
