--- a/rosemaryroad/logs.py
+++ b/rosemaryroad/logs.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import contextvars
+import functools
 import json
 import logging
 import re
@@ -75,6 +76,12 @@
     if not isinstance(handler, logging.Handler):
         handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(KeyValueFormatter(vm))
+    # No line names threads, processes or tasks; to find them out for each
+    # record took a fifth of its time.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging.logAsyncioTasks = False
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
@@ -159,15 +166,27 @@
 
 
 def _timestamp(seconds: float) -> str:
-    whole = time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(seconds))
-    return f'{whole}.{int(seconds * 1000) % 1000:03d}Z'
+    return f'{_second(int(seconds))}.{int(seconds * 1000) % 1000:03d}Z'
+
+
+# Some hundred lines fall into the same second, and all have the same keys.
+@functools.lru_cache(maxsize=4)
+def _second(second: int) -> str:
+    return time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(second))
+
+
+@functools.lru_cache(maxsize=1024)
+def _is_secret(key: str) -> bool:
+    return _SECRET_KEY.search(key.lower()) is not None
 
 
 def _value(key: str, value: object) -> str:
-    if _SECRET_KEY.search(key.lower()):
+    if _is_secret(key):
         return _HIDDEN
     if isinstance(value, float):
         return f'{value:.3f}'
+    if type(value) is int:
+        return str(value)
     text = str(value)[:_MAX_VALUE_CHARS]
     if _BARE.fullmatch(text):
         return text
