--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -101,11 +101,8 @@
     pool: collections.abc.Sequence[_state.WorkerState],
     now: float,
 ) -> None:
-    probe = True
     candidates = [
-        worker
-        for worker in pool
-        if _placement.may_run(worker, state.job, now, probe)
+        worker for worker in pool if _placement.may_run(worker, state.job, now)
     ]
     for task in state.tasks:
         if task.phase is not _state.Phase.WAITING:
--- a/rosemaryroad/explain.py
+++ b/rosemaryroad/explain.py
@@ -224,19 +224,22 @@
     answered; clocks that say otherwise differ by as much at least.
     """
     offset_by_vm = {line.vm: 0.0 for line in own}
-    ranked = [line for line in own if line.event in _RANK_BY_EVENT]
-    received = {line.vm for line in own if line.event == 'job_received'}
-    for early in ranked:
-        for late in ranked:
-            causes = early.event == 'job_handed' and (
-                late.event == 'task_ordered'
-            )
-            if not causes or late.vm in received or early.vm == late.vm:
-                continue
-            lag = early.time_ms - late.time_ms - offset_by_vm[late.vm]
-            same = early.fields.get('dispatcher') == late.vm
-            if same and lag > 0:
-                offset_by_vm[late.vm] += lag
+    home = next((x.vm for x in own if x.event == 'job_received'), '')
+    for vm in offset_by_vm:
+        handed = [
+            line.time_ms
+            for line in own
+            if line.event == 'job_handed'
+            and line.fields.get('dispatcher') == vm
+            and line.fields.get('sent') != 'False'
+        ]
+        ordered = [
+            line.time_ms
+            for line in own
+            if line.event == 'task_ordered' and line.vm == vm
+        ]
+        if vm != home and handed and ordered:
+            offset_by_vm[vm] = max(0.0, min(handed) - min(ordered))
     return offset_by_vm
 
 
@@ -310,7 +313,12 @@
     answered = [line for line in own if line.event == 'job_answered']
     if answered:
         fields = answered[-1].fields
-        settled = [line for line in own if line.event == 'job_settled']
+        settled = [
+            line
+            for line in own
+            if line.event == 'job_settled'
+            and line.fields.get('end') == fields.get('end')
+        ]
         cause = settled[-1].fields.get('cause') if settled else None
         cause = cause or fields.get('cause')
         took = fields.get('took_ms')
--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -14,8 +14,8 @@
 _LOG = logging.getLogger(__name__)
 _MS_PER_SECOND = 1000.0
 
-# A job that no dispatcher can be found for is refused after this long: a
-# change of dispatcher takes less, and the client may find a VM that has one.
+# Jobs are refused after so long without a dispatcher: a change of dispatcher
+# takes less, and the client may find a VM that has one.
 _NO_DISPATCHER_MS = 900.0
 _RETRY_MS = 500.0
 
@@ -60,6 +60,7 @@
         self._clock = clock
         self._send = send
         self._dispatcher = ''
+        self._alone_since = clock.now()
         self._held_by_id: dict[str, _Held] = {}
 
     @property
@@ -123,6 +124,8 @@
         if dispatcher == self._dispatcher:
             return
         self._dispatcher = dispatcher
+        if not dispatcher:
+            self._alone_since = self._clock.now()
         for held in list(self._held_by_id.values()):
             self._move(held)
 
@@ -139,7 +142,9 @@
                 continue
             if self._dispatcher:
                 self._hand(held)
-            elif now - held.arrived > _NO_DISPATCHER_MS:
+            elif now - max(held.arrived, self._alone_since) > (
+                _NO_DISPATCHER_MS
+            ):
                 self._refuse(held)
 
     def peer_lost(self, vm: str) -> None:
--- a/tests/dispatching/test_workers.py
+++ b/tests/dispatching/test_workers.py
@@ -285,3 +285,41 @@
             if item.event == 'worker_suspended'
         ]
         self.assertEqual(2, len(set(noted)))
+
+
+class RetryTest(case.DispatcherCase):
+    """A task that failed is tried at another worker."""
+
+    def test_it_waits_for_another_worker(self) -> None:
+        """A worker fails what it starts, and is the only one with room.
+
+        Tried there again at once, the job would fail by its attempts
+        though every other worker could do it.
+        """
+        self.add_workers('w1', 'w2')
+        self.submit(case.make_job('job-0', tasks=2))
+        first = self.starts()
+        for start in first:
+            self.answer(start)
+        self.submit(case.make_job('job-1', tasks=2))
+        starts = self.starts()
+        self.assertEqual(1, len({item.worker for item in starts}))
+        worker = starts[0].worker
+        for start in starts:
+            self.answer(start)
+        ended = (starts[0], model.TaskEnd.FAILED)
+        self.report(worker, running=((starts[1], 50.0),), ended=(ended,))
+        again = [item for item in self.starts() if item.worker == worker]
+        self.assertEqual([], again)
+        other = first[0].worker
+        done = tuple((item, model.TaskEnd.DONE) for item in first)
+        self.report(other, ended=done)
+        self.assertEqual([other], [item.worker for item in self.starts()])
+
+    def test_a_single_worker_is_tried_again(self) -> None:
+        self.add_workers('w1')
+        self.submit(case.make_job())
+        [start] = self.starts()
+        self.answer(start)
+        self.report('w1', ended=((start, model.TaskEnd.FAILED),))
+        self.assertEqual(1, len(self.starts()))
--- a/tests/jobserver/test_home.py
+++ b/tests/jobserver/test_home.py
@@ -159,6 +159,25 @@
         self.home.hand_again()
         self.assertIs(model.JobEnd.NOT_RUN, (await answer).end)
 
+    async def test_an_old_job_outlives_a_change_of_dispatcher(self) -> None:
+        """A job has run for a second when its dispatcher is lost.
+
+        Given up at once for its age, it would miss the next dispatcher by
+        some hundred milliseconds.
+        """
+        answer = await self._submit()
+        self.clock.advance(1_500)
+        self.linked.discard('d1')
+        self.home.peer_lost('d1')
+        self.home.follow('')
+        self.clock.advance(400)
+        self.home.hand_again()
+        await asyncio.sleep(0)
+        self.assertFalse(answer.done())
+        self.home.follow('d2')
+        self._settle('d2', model.JobEnd.COMPLETED)
+        self.assertIs(model.JobEnd.COMPLETED, (await answer).end)
+
     async def test_a_deadline_ends_a_job_truthfully(self) -> None:
         """The client's time is up while a dispatcher has the job.
 
