--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-SOURCES = rosemaryroad tests bench demo harness
+SOURCES = rosemaryroad tests bench demo harness deploy
 
 .PHONY: venv demo test lint format bench unit
 
--- a/rosemaryroad/platform/__init__.py
+++ b/rosemaryroad/platform/__init__.py
@@ -1,4 +1,9 @@
-"""Adapters to the platform's table service, object store and VM list."""
+"""Adapters to the platform.
+
+``JobPlatformAdapter`` speaks to the users' platform and serves the daemon
+for jobs. The table service, object store and VM list over HTTP are those that
+the product assumed before; ``rosemaryroadd`` uses them.
+"""
 
 from rosemaryroad.platform._adapter import JobPlatformAdapter
 from rosemaryroad.platform._http import Timeouts
