--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -10,6 +10,7 @@
 import attrs
 
 from rosemaryroad import model
+from rosemaryroad.dispatching import _signs
 
 # Signs of life go out every PULSE_MS; four in a row have to be missing
 # before a peer counts as silent, since a VM that is slowed down five times
@@ -78,15 +79,6 @@
     dispatcher: str
 
 
-@attrs.define(eq=False)
-class _Peer:
-    """One other entry VM that a link stands to."""
-
-    joined_at: float
-    heard_at: float
-    pulse: model.Pulse | None = None
-
-
 class Leadership:
     """Decides who dispatches, as one VM sees it.
 
@@ -111,7 +103,7 @@
         self._ticked_at = now
         self._unsure_until = now
         self._wait_until = now
-        self._peer_by_vm: dict[str, _Peer] = {}
+        self._signs = _signs.Signs()
         self._known: frozenset[str] = frozenset()
         self._lost_at = now
         self._lost = ''
@@ -141,15 +133,17 @@
         """
         return max(self._term, self._fence)
 
-    @property
-    def may_order(self) -> bool:
-        """Whether orders may go out now.
+    def may_order(self, now: float) -> bool:
+        """Tells whether orders may go out now.
 
         A VM that was stopped for a while may have been replaced without
-        knowing; its orders wait until it has heard the others.
+        knowing; its orders wait until it has heard the others. Orders that
+        were due when it was stopped go out before its next look at the
+        time.
         """
-        acts = self._claim is not model.Claim.NONE
-        return acts and self._ticked_at >= self._unsure_until
+        if self._claim is model.Claim.NONE:
+            return False
+        return now >= self._unsure_until and now - self._ticked_at < _PAUSE_MS
 
     def pulse(self, table_version: int) -> model.Pulse:
         """Returns the sign of life to send."""
@@ -180,18 +174,16 @@
 
     def joined(self, vm: str, now: float) -> None:
         """Takes in that a link to a peer stands."""
-        self._peer_by_vm[vm] = _Peer(now, now)
+        self._signs.joined(vm, now)
 
     def lost(self, vm: str, now: float) -> None:
         """Takes in that no link to a peer stands."""
-        self._peer_by_vm.pop(vm, None)
+        self._signs.lost(vm)
         self._evaluate(now)
 
     def heard(self, vm: str, pulse: model.Pulse, now: float) -> None:
         """Takes in a sign of life."""
-        peer = self._peer_by_vm.setdefault(vm, _Peer(now, now))
-        peer.heard_at = now
-        peer.pulse = pulse
+        self._signs.heard(vm, pulse, now)
         self._fence = max(self._fence, pulse.fence)
         self._evaluate(now)
 
@@ -224,25 +216,19 @@
         """Tells whether signs to and from a peer come at the full rate."""
         if self._claim is not model.Claim.NONE or vm == self._dispatcher:
             return True
-        peer = self._peer_by_vm.get(vm)
-        pulse = peer.pulse if peer is not None else None
+        pulse = self._signs.pulse_of(vm)
         return pulse is not None and pulse.claim is not model.Claim.NONE
 
     def silent(self, now: float) -> tuple[str, ...]:
         """Returns the peers whose links stand but carry nothing."""
-        return tuple(
-            vm
-            for vm, peer in self._peer_by_vm.items()
-            if now - peer.heard_at >= self._silence_ms(vm, now)
-        )
+        return self._signs.silent(now, lambda vm: self._silence_ms(vm, now))
 
     def tick(self, now: float) -> None:
         """Looks at the time; to be called every few ten milliseconds."""
         if now - self._ticked_at >= _PAUSE_MS:
             # What was heard before the pause says nothing of the present.
             self._unsure_until = now + _WAKE_MS
-            for peer in self._peer_by_vm.values():
-                peer.heard_at = max(peer.heard_at, now - SILENT_MS + _WAKE_MS)
+            self._signs.renew(now - SILENT_MS + _WAKE_MS)
         self._ticked_at = now
         self._evaluate(now)
 
@@ -291,13 +277,8 @@
             return None
         return LeaseRow(self._term, self._vm)
 
-    def _fresh(self, now: float) -> list[str]:
-        return [
-            vm
-            for vm, peer in self._peer_by_vm.items()
-            if peer.pulse is not None
-            and now - peer.heard_at < self._silence_ms(vm, now)
-        ]
+    def _fresh(self, now: float) -> dict[str, model.Pulse]:
+        return self._signs.fresh(now, lambda vm: self._silence_ms(vm, now))
 
     def _silence_ms(self, vm: str, now: float) -> float:
         # Peers of a VM that has just become the dispatcher may not know
@@ -310,8 +291,7 @@
     def _best_other(self, now: float) -> str | None:
         best = None
         best_rank = None
-        for vm in self._fresh(now):
-            pulse = self._peer_by_vm[vm].pulse
+        for vm, pulse in self._fresh(now).items():
             if pulse.claim is model.Claim.NONE or pulse.leaving:
                 continue
             rank = _rank(pulse.claim, pulse.term, vm)
@@ -324,7 +304,7 @@
         if self._leaving:
             self._claim = model.Claim.NONE
         if best is not None:
-            pulse = self._peer_by_vm[best].pulse
+            pulse = self._signs.pulse_of(best)
             theirs = _rank(pulse.claim, pulse.term, best)
             ours = _rank(self._claim, self._term, self._vm)
             if self._claim is model.Claim.NONE or theirs < ours:
@@ -347,12 +327,8 @@
         if not vm:
             self._lost = self._dispatcher
             self._lost_at = now
-            peer = self._peer_by_vm.get(self._lost)
-            self._lost_in_order = (
-                peer is not None
-                and peer.pulse is not None
-                and peer.pulse.leaving
-            )
+            pulse = self._signs.pulse_of(self._lost)
+            self._lost_in_order = pulse is not None and pulse.leaving
         self._dispatcher = vm
 
     def _is_ready(self, now: float) -> bool:
@@ -371,27 +347,26 @@
             return True
         if self._lost:
             return now - self._lost_at >= _AGREE_MS
-        if self._known and set(self._fresh(now)) >= self._known:
+        if self._known and self._fresh(now).keys() >= self._known:
             return True
         return now - self._started_at >= _START_MS
 
-    def _others_without(self, now: float) -> tuple[list[str], bool]:
+    def _others_without(
+        self, now: float
+    ) -> tuple[dict[str, model.Pulse], bool]:
         """Returns the peers in the same position, and whether all are."""
-        fresh = self._fresh(now)
-        without = []
-        for vm in fresh:
-            pulse = self._peer_by_vm[vm].pulse
-            if pulse.leaving:
-                continue
+        staying = {
+            vm: pulse
+            for vm, pulse in self._fresh(now).items()
+            if not pulse.leaving
+        }
+        without = dict(staying)
+        if self._lost and not self._lost_in_order:
             # A sign from before the loss says nothing about it; taken for
             # an objection it would cost one interval, no more.
-            objects = self._lost and not self._lost_in_order
-            if objects and self._lost == pulse.dispatcher:
-                continue
-            without.append(vm)
-        staying = [
-            vm for vm in fresh if not self._peer_by_vm[vm].pulse.leaving
-        ]
+            for vm, pulse in staying.items():
+                if pulse.dispatcher == self._lost:
+                    del without[vm]
         return without, len(without) == len(staying)
 
     def _should_claim(self, now: float) -> bool:
@@ -418,12 +393,11 @@
             return False
         return self._is_first(without)
 
-    def _is_first(self, others: list[str]) -> bool:
+    def _is_first(self, others: dict[str, model.Pulse]) -> bool:
         """Tells whether this VM comes before others that could act."""
         settled = self._is_settled(self._ticked_at)
         ours = (not settled, -self._cores, -self._started, self._vm)
-        for vm in others:
-            pulse = self._peer_by_vm[vm].pulse
+        for vm, pulse in others.items():
             theirs = (not pulse.settled, -pulse.cores, -pulse.started, vm)
             if pulse.informed and theirs < ours:
                 return False
@@ -434,7 +408,7 @@
         # where it stands first, the others would wait for it.
         return now - self._started_at >= 2 * _START_MS
 
-    def _are_most(self, others: list[str]) -> bool:
+    def _are_most(self, others: dict[str, model.Pulse]) -> bool:
         """Tells whether this VM and others are more than half of all."""
         return 2 * (len(others) + 1) > len(self._known | {self._vm})
 
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -112,9 +112,10 @@
 
     def tick(self) -> None:
         """Does what is due by the time alone."""
-        if self._dispatcher is None or not self._leadership.may_order:
+        now = self._clock.now()
+        if self._dispatcher is None or not self._leadership.may_order(now):
             return
-        self._carry_out(self._dispatcher.tick(self._clock.now()))
+        self._carry_out(self._dispatcher.tick(now))
         jobs, unstarted = self._dispatcher.count_jobs()
         self._metrics.set_jobs(jobs, unstarted)
 
@@ -130,7 +131,9 @@
 
     def may_order(self) -> bool:
         """Tells whether orders may go out now."""
-        return self._dispatcher is not None and self._leadership.may_order
+        if self._dispatcher is None:
+            return False
+        return self._leadership.may_order(self._clock.now())
 
     def is_busy(self, worker: str) -> bool:
         """Tells whether anything runs at a worker."""
@@ -289,11 +292,7 @@
     def _on_start(
         self, start: dispatching.StartTask, reply: model.OrderReply
     ) -> None:
-        self._metrics.ordered('start', reply.result)
-        if reply.result is model.OrderResult.UNKNOWN:
-            self.call_lost(start.worker)
-        if reply.result is not model.OrderResult.DONE:
-            _log_refused('start', start, reply)
+        self._note_reply('start', start, reply)
         if self._dispatcher is not None:
             now = self._clock.now()
             actions = self._dispatcher.start_answered(start, reply, now)
@@ -302,14 +301,24 @@
     def _on_stop(
         self, stop: dispatching.StopTask, reply: model.OrderReply
     ) -> None:
-        self._metrics.ordered('stop', reply.result)
-        if reply.result is not model.OrderResult.DONE:
-            _log_refused('stop', stop, reply)
+        self._note_reply('stop', stop, reply)
         if self._dispatcher is not None:
             now = self._clock.now()
             actions = self._dispatcher.stop_answered(stop, reply, now)
             self._carry_out(actions)
 
+    def _note_reply(
+        self,
+        order: str,
+        action: dispatching.StartTask | dispatching.StopTask,
+        reply: model.OrderReply,
+    ) -> None:
+        self._metrics.ordered(order, reply.result)
+        if reply.result is model.OrderResult.UNKNOWN:
+            self.call_lost(action.worker)
+        if reply.result is not model.OrderResult.DONE:
+            _log_refused(order, action, reply)
+
 
 def _log_refused(
     order: str,
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -93,8 +93,9 @@
         frozen.frozen = True
         self.group.run(2_000)
         frozen.frozen = False
+        self.assertFalse(frozen.leadership.may_order(self.group.now))
         frozen.leadership.tick(self.group.now)
-        self.assertFalse(frozen.leadership.may_order)
+        self.assertFalse(frozen.leadership.may_order(self.group.now))
         self.group.heal()
         self.group.run(1_500)
         self.assertEqual(1, len(self.group.claims()))
