Let a dispatcher whose VM is slowed down step aside

Now timers that are late by 50 ms for 0.6 s make it step aside for 5 s, if another VM is better off.

--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -13,6 +13,7 @@
 from rosemaryroad.dispatching._leadership import LeaseRow
 from rosemaryroad.dispatching._leadership import PULSE_MS
 from rosemaryroad.dispatching._leadership import Role
+from rosemaryroad.dispatching._leadership import TICK_MS
 from rosemaryroad.dispatching._run_times import RunTimes
 
 __all__ = [
@@ -29,5 +30,6 @@
     'RunTimes',
     'StartTask',
     'StopTask',
+    'TICK_MS',
     'TellHome',
 ]
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -18,6 +18,21 @@
 PULSE_MS = 120.0
 SILENT_MS = 480.0
 
+# How often the time is looked at; a change of dispatcher waits for it.
+TICK_MS = 30.0
+
+# A VM whose looks at the time are late by so much on the average, for so
+# long, is too slow to dispatch: an answer of a worker takes some 2 ms, and
+# every job waits for several. A burst delays a sound VM for less.
+_STRAIN_MS = 50.0
+_STRAINED_AFTER_MS = 400.0
+_STRAIN_GAIN = 0.25
+
+# A dispatcher that has just taken over is busy with learning what runs; one
+# that has stepped aside stays there until its trouble is likely over.
+_TENURE_MS = 3_000.0
+_ASIDE_MS = 5_000.0
+
 # In larger groups the VMs that don't dispatch tell each other less often:
 # the signs grow with the square of their number. 42 VMs would send 14,000 a
 # second, each some 50 us for its two ends.
@@ -113,6 +128,9 @@
         self._dispatcher = ''
         self._leaving = False
         self._informed = False
+        self._delay_ms = 0.0
+        self._strained_since: float | None = None
+        self._aside_until = now
         self._row = LeaseRow(0, '')
         self._mend_at = now
         self._claimed_at = now
@@ -153,11 +171,12 @@
             self._dispatcher,
             self._claim,
             table_version,
-            self._leaving,
+            self._leaving or self._ticked_at < self._aside_until,
             self._informed,
             self._cores,
             self._started,
             self._is_settled(self._ticked_at),
+            self._is_strained(self._ticked_at),
         )
 
     def peers_known(self, vms: frozenset[str]) -> None:
@@ -229,7 +248,10 @@
             # What was heard before the pause says nothing of the present.
             self._unsure_until = now + _WAKE_MS
             self._signs.renew(now - SILENT_MS + _WAKE_MS)
+        self._measure_delay(now)
         self._ticked_at = now
+        if self._should_step_aside(now):
+            self._aside_until = now + _ASIDE_MS
         self._evaluate(now)
 
     def wants_claim(self, now: float) -> LeaseRow | None:
@@ -250,7 +272,7 @@
         """Takes in that the row names this VM, or that none can be read."""
         self._claiming = False
         self._mend_at = now + _MEND_AGAIN_MS
-        if self._leaving or row.term <= self._term:
+        if self._is_out(now) or row.term <= self._term:
             return
         if self._best_other(now) is not None:
             # Another one was heard meanwhile; it goes on, and mends the
@@ -269,6 +291,34 @@
 
     # Parts of the above.
 
+    def _is_out(self, now: float) -> bool:
+        return self._leaving or now < self._aside_until
+
+    def _measure_delay(self, now: float) -> None:
+        late = max(0.0, now - self._ticked_at - TICK_MS)
+        self._delay_ms += _STRAIN_GAIN * (late - self._delay_ms)
+        if self._delay_ms < _STRAIN_MS:
+            self._strained_since = None
+        elif self._strained_since is None:
+            self._strained_since = now
+
+    def _is_strained(self, now: float) -> bool:
+        since = self._strained_since
+        return since is not None and now - since >= _STRAINED_AFTER_MS
+
+    def _should_step_aside(self, now: float) -> bool:
+        if self._claim is not model.Claim.DISPATCHER:
+            return False
+        # Time for the others to tell whether they are strained as well.
+        told = self._is_strained(now - 2 * PULSE_MS)
+        if now - self._claimed_at < _TENURE_MS or not told:
+            return False
+        # Where no other VM is better off, the load itself is too high.
+        return any(
+            pulse.informed and not pulse.leaving and not pulse.strained
+            for pulse in self._fresh(now).values()
+        )
+
     def _row_to_mend(self, now: float) -> LeaseRow | None:
         """Returns the row as it should be, where it lags behind this VM."""
         if self._claim is not model.Claim.DISPATCHER or now < self._mend_at:
@@ -301,7 +351,7 @@
 
     def _evaluate(self, now: float) -> None:
         best = self._best_other(now)
-        if self._leaving:
+        if self._is_out(now):
             self._claim = model.Claim.NONE
         if best is not None:
             pulse = self._signs.pulse_of(best)
@@ -332,7 +382,7 @@
         self._dispatcher = vm
 
     def _is_ready(self, now: float) -> bool:
-        if self._leaving or self._dispatcher or now < self._wait_until:
+        if self._is_out(now) or self._dispatcher or now < self._wait_until:
             return False
         if not self._informed:
             return False
@@ -399,6 +449,8 @@
         ours = (not settled, -self._cores, -self._started, self._vm)
         for vm, pulse in others.items():
             theirs = (not pulse.settled, -pulse.cores, -pulse.started, vm)
+            if pulse.strained:
+                continue
             if pulse.informed and theirs < ours:
                 return False
         return True
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -25,9 +25,6 @@
 _VM_PREFIX = 'vm/'
 _DISPATCHER_KEY = 'dispatcher'
 
-# How often the time is looked at; a change of dispatcher waits for it.
-TICK_MS = 30.0
-
 # A row that could not be written is tried again after this long.
 _WRITE_AGAIN_MS = 500.0
 
@@ -191,7 +188,7 @@
         """Keeps time for as long as the process lives."""
         while True:
             self._tick()
-            await self._clock.sleep(TICK_MS)
+            await self._clock.sleep(dispatching.TICK_MS)
 
     async def announce(self) -> None:
         """Writes this VM's own row until the store has taken it."""
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -333,7 +333,7 @@
             if self._sink is not None and now - flushed_at >= _FLUSH_MS:
                 flushed_at = now
                 self._sink.flush()
-            await self._clock.sleep(_members.TICK_MS)
+            await self._clock.sleep(dispatching.TICK_MS)
 
     def _render_metrics(self) -> str:
         role = self._leadership.role
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -33,11 +33,12 @@
             life reach it, or ''.
         claim: What the sender itself claims to be.
         table_version: The version of the queues that it has in force.
-        leaving: Whether it is shutting down.
+        leaving: Whether it is shutting down, or too slow to dispatch.
         informed: Whether it knows the workers and the other entry VMs.
         cores: Its share of a processor.
         started: When it was started, by its own time of day.
         settled: Whether it has been up for a while.
+        strained: Whether its timers have been late for a while.
     """
 
     term: int
@@ -50,6 +51,7 @@
     cores: float = 1.0
     started: int = 0
     settled: bool = True
+    strained: bool = False
 
 
 @attrs.frozen
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -10,7 +10,6 @@
 from rosemaryroad import model
 
 _STEP_MS = 10.0
-_TICK_MS = 30.0
 
 
 @attrs.define(eq=False)
@@ -21,6 +20,7 @@
     role: dispatching.Role
     frozen: bool = False
     pulses: int = 0
+    tick_ms: float = dispatching.TICK_MS
     reaches_table: bool = True
 
 
@@ -158,7 +158,7 @@
         if vm.frozen:
             return
         leadership = vm.leadership
-        if self.now - vm.tick_at >= _TICK_MS:
+        if self.now - vm.tick_at >= vm.tick_ms:
             vm.tick_at = self.now
             leadership.tick(self.now)
             for peer in leadership.silent(self.now):
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -242,3 +242,42 @@
         claims = self.group.claims()
         claims.pop(self.first, None)
         self.assertEqual([model.Claim.DISPATCHER], list(claims.values()))
+
+
+class StrainTest(unittest.TestCase):
+    """A dispatcher whose VM is slowed down lets another one take over."""
+
+    def setUp(self) -> None:
+        self.group = played_group.PlayedGroup(*_SEVEN)
+        self.group.run_until_one(1_500)
+        self.group.run(4_000)
+        [self.first] = self.group.claims()
+
+    def test_a_slow_dispatcher_steps_aside(self) -> None:
+        """The dispatcher's VM runs eight times slower for some seconds.
+
+        It still tells the others that it lives, and every job waits for
+        it: most are late or refused while workers stand free.
+        """
+        self.group.vm_by_name[self.first].tick_ms = 130.0
+        self.group.run(1_200)
+        claims = self.group.claims()
+        self.assertNotIn(self.first, claims)
+        self.assertEqual([model.Claim.DISPATCHER], list(claims.values()))
+        self.group.run(3_000)
+        self.assertEqual(claims, self.group.claims())
+
+    def test_it_stays_where_nobody_is_better(self) -> None:
+        """All VMs are slow; changing hands would only add to it."""
+        for vm in self.group.vm_by_name.values():
+            vm.tick_ms = 130.0
+        self.group.run(5_000)
+        self.assertEqual([self.first], list(self.group.claims()))
+
+    def test_a_moment_of_delay_changes_nothing(self) -> None:
+        vm = self.group.vm_by_name[self.first]
+        vm.tick_ms = 130.0
+        self.group.run(260)
+        vm.tick_ms = 30.0
+        self.group.run(2_000)
+        self.assertEqual([self.first], list(self.group.claims()))
