--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -207,7 +207,15 @@
         if worker is None:
             return []
         order = worker.orders_by_key.get((stop.task, stop.attempt))
-        if order is None or reply.result is not model.OrderResult.DONE:
+        if order is None:
+            return []
+        if reply.result is model.OrderResult.UNKNOWN:
+            # Its room and its task wait for this answer; the lost one has
+            # been waited for already.
+            if order.phase is _state.OrderPhase.STOPPING:
+                self._context.stop(worker, order, 'stop unanswered', now)
+            return self._context.take_actions()
+        if reply.result is not model.OrderResult.DONE:
             return []
         order.phase = _state.OrderPhase.STOPPED
         order.since_clock = max(order.since_clock, reply.worker_clock)
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -188,10 +188,22 @@
         return _LOSSY_WAIT_MS if self._handler.is_lossy() else _BUSY_WAIT_MS
 
     async def _look_while_wanted(self) -> None:
+        failures = 0
         try:
             while self._look.wanted and not self._closed:
                 self._look.wanted = False
-                await self._ask(0.0)
+                if await self._look_once():
+                    failures = 0
+                    continue
+                # A single answer may be lost, and a task waits for it.
+                failures += 1
+                self._look.wanted = failures < _SILENT_AFTER
+        finally:
+            self._look.running = False
+
+    async def _look_once(self) -> bool:
+        try:
+            await self._ask(0.0)
         except endpoints.WorkerUnreachable as error:
             # The calls that hold the worker judge it; this one says only
             # that there is no news.
@@ -202,8 +214,8 @@
                 worker=self.worker.id,
                 detail=error.detail,
             )
-        finally:
-            self._look.running = False
+            return False
+        return True
 
     async def _take_failure(
         self, failures: int, error: endpoints.WorkerUnreachable
--- a/tests/dispatching/test_workers.py
+++ b/tests/dispatching/test_workers.py
@@ -130,6 +130,8 @@
         [stop] = self.stops()
         self.assertEqual([], self.starts())
         self.answer(stop, model.OrderResult.UNKNOWN)
+        [stop] = self.stops()
+        self.assertEqual([], self.starts())
         self.pass_time(250)
         [stop] = self.stops()
         self.assertEqual([], self.starts())
