--- /dev/null
+++ b/tests/dispatching/test_load.py
@@ -0,0 +1,45 @@
+"""Tests of what callers get under load, played into the decisions alone."""
+
+import unittest
+
+from tests.dispatching import played_load
+
+
+class LoadTest(unittest.TestCase):
+    """24 workers under the users' kinds of request."""
+
+    def _play(self, **fields) -> dict[str, played_load.Tally]:
+        return played_load.PlayedLoad(3, seconds=12.0, **fields).play()
+
+    def test_the_usual_load_is_served_in_time(self) -> None:
+        tallies = self._play(load=1.0)
+        for queue, tally in tallies.items():
+            with self.subTest(queue):
+                self.assertGreater(tally.share, 0.95)
+                self.assertEqual(tally.jobs, tally.served)
+
+    def test_a_burst_costs_little_and_no_kind_starves(self) -> None:
+        """Half as many jobs again as usual come for four seconds.
+
+        In the order in which they come, every job would be late until the
+        burst has been worked off: half of the worth would be lost.
+        """
+        tallies = self._play(load_at=lambda s: 1.5 if 2 < s < 6 else 1.0)
+        whole = played_load.total(tallies)
+        self.assertGreater(whole.share, 0.9)
+        for queue, tally in tallies.items():
+            with self.subTest(queue):
+                self.assertGreater(tally.share, 0.8)
+                self.assertGreater(tally.served, 0.95 * tally.jobs)
+
+    def test_refusals_come_in_time_to_go_elsewhere(self) -> None:
+        """Twice the usual load comes, far over what the workers can do.
+
+        A job that is held to its client's end without having started is
+        lost to its client as well as to everybody else.
+        """
+        tallies = self._play(load_at=lambda s: 2.0 if 2 < s < 6 else 1.0)
+        whole = played_load.total(tallies)
+        self.assertEqual(0.0, whole.held)
+        self.assertGreater(whole.share, 0.75)
+        self.assertGreater(whole.served, 0.9 * whole.jobs)
