Reuse the links' broadcast, find queues once, hold no copy of workers

Read over once more; behaviour stays as it is. A sign of life was encoded anew for each peer: broadcast, which encodes one message for many, now skips a peer as well. Each action of the dispatcher built a map of all workers to see whether any had come or gone; the keys tell. The three handlers of callers found their queue each by themselves. Dropped: a property and an export that nothing used.

--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -14,7 +14,6 @@
 from rosemaryroad.dispatching._leadership import PULSE_MS
 from rosemaryroad.dispatching._leadership import Role
 from rosemaryroad.dispatching._leadership import TICK_MS
-from rosemaryroad.dispatching._run_times import RunTimes
 
 __all__ = [
     'CLAIM_TIMEOUT_MS',
@@ -27,7 +26,6 @@
     'LookAt',
     'Noted',
     'Role',
-    'RunTimes',
     'StartTask',
     'StopTask',
     'TICK_MS',
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -32,12 +32,13 @@
         self._context = _context.Context(limits, is_deputy)
 
     @property
-    def worker_by_id(self) -> dict[str, model.Worker]:
-        """The workers to be held, by id."""
-        return {
-            key: state.worker
-            for key, state in self._context.workers_by_id.items()
-        }
+    def worker_ids(self) -> collections.abc.KeysView[str]:
+        """The ids of the workers to be held."""
+        return self._context.workers_by_id.keys()
+
+    def worker(self, worker_id: str) -> model.Worker:
+        """Returns one of the workers to be held."""
+        return self._context.workers_by_id[worker_id].worker
 
     def has_work(self, worker_id: str) -> bool:
         """Tells whether anything takes room at a worker."""
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -222,14 +222,14 @@
     def _sync_sessions(self) -> None:
         if self._dispatcher is None:
             return
-        workers = self._dispatcher.worker_by_id
-        if workers.keys() == self._session_by_worker.keys():
+        wanted = self._dispatcher.worker_ids
+        if wanted == self._session_by_worker.keys():
             return
-        for key in list(self._session_by_worker.keys() - workers.keys()):
+        for key in list(self._session_by_worker.keys() - wanted):
             self._session_by_worker.pop(key).close()
-        for key in workers.keys() - self._session_by_worker.keys():
+        for key in wanted - self._session_by_worker.keys():
             session = _sessions.WorkerSession(
-                workers[key], self._client, self, self._clock
+                self._dispatcher.worker(key), self._client, self, self._clock
             )
             self._session_by_worker[key] = session
             session.open()
--- a/rosemaryroad/jobserver/_following.py
+++ b/rosemaryroad/jobserver/_following.py
@@ -66,11 +66,6 @@
         self._failures = 0
         self._lost_at = 0.0
 
-    @property
-    def is_current(self) -> bool:
-        """Whether the store was heard at the last try."""
-        return self._version is not None and self._failures == 0
-
     async def run(self) -> None:
         """Follows the table for as long as the process lives."""
         while True:
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -159,7 +159,7 @@
     def joined(self, vm: str) -> None:
         """Takes in that a peer can be reached."""
         self._leadership.joined(vm, self._clock.now())
-        self._pulse_to(vm)
+        self._links.tell(vm, self._make_pulse())
 
     def lost(self, vm: str) -> None:
         """Takes in that no link to a peer is left."""
@@ -265,14 +265,17 @@
             to_all: Whether to those as well that needn't hear each one.
         """
         self._pulse_at = self._clock.now()
-        for vm in self._links.linked():
-            if to_all or self._leadership.is_near(vm):
-                self._pulse_to(vm)
+        pulse = self._make_pulse()
+        self._links.broadcast(
+            lambda vm: (
+                pulse if to_all or self._leadership.is_near(vm) else None
+            )
+        )
 
-    def _pulse_to(self, vm: str) -> None:
+    def _make_pulse(self) -> model.Pulse:
         table = self._queue_table()
         version = table.version if table is not None else 0
-        self._links.tell(vm, self._leadership.pulse(version))
+        return self._leadership.pulse(version)
 
     def _set_vms(self, vms: tuple[model.EntryVm, ...]) -> None:
         self._vms = vms
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -27,6 +27,10 @@
 _DEADLINE_HEADER = 'x-deadline-ms'
 _CLOSE_HEADERS = {'connection': 'close'}
 
+# When to come back to a VM that can't take a job itself: another one can, or
+# this one within a second of its start.
+_RETRY_MS = 500.0
+
 # How long a client waits that doesn't say so.
 _DEFAULT_LEFT_MS = 2_000.0
 
@@ -96,7 +100,7 @@
         jobs_app = _make_app(f'{self._name}-callers')
         for method in ('POST', 'GET', 'DELETE'):
             jobs_app.add_route(
-                self._handlers()[method],
+                self._routed(method),
                 '/<path:path>',
                 methods=[method],
                 name=method.lower(),
@@ -144,21 +148,38 @@
         app.add_route(metrics, '/metrics', methods=['GET'])
         return app
 
-    def _handlers(self) -> dict[str, typing.Callable]:
-        return {'POST': self._post, 'GET': self._get, 'DELETE': self._delete}
+    def _routed(self, method: str) -> typing.Callable:
+        """Makes the route of a method, which first finds the queue."""
+        handle = {
+            'POST': self._post,
+            'GET': self._get,
+            'DELETE': self._delete,
+        }[method]
+
+        async def route(
+            request: sanic.Request, path: str
+        ) -> sanic.HTTPResponse:
+            front = self._front
+            # Only a job is worth a wait for the first configuration.
+            known = front.has_queues
+            if not known and method == 'POST':
+                known = await front.wait_for_queues()
+            if not known:
+                return self._refuse(path, 'no configuration')
+            match = front.find_queue(request.host, request.path)
+            if match is None:
+                return self._plain(http.HTTPStatus.NOT_FOUND)
+            return await handle(request, match)
+
+        return route
 
     async def _ready(self, _: sanic.Request) -> sanic.HTTPResponse:
         return _empty(200 if self._front.is_ready else 503)
 
     async def _post(
-        self, request: sanic.Request, path: str
+        self, request: sanic.Request, match: jobservice.QueueMatch
     ) -> sanic.HTTPResponse:
         front = self._front
-        if not await front.wait_for_queues():
-            return self._refuse(path, 'no configuration')
-        match = front.find_queue(request.host, request.path)
-        if match is None:
-            return self._plain(http.HTTPStatus.NOT_FOUND)
         job_id = match.rest
         if front.is_closed:
             return self._refuse(job_id, 'about to end')
@@ -179,14 +200,9 @@
         return self._answer(answer)
 
     async def _get(
-        self, request: sanic.Request, path: str
+        self, _: sanic.Request, match: jobservice.QueueMatch
     ) -> sanic.HTTPResponse:
         front = self._front
-        if not front.has_queues:
-            return self._refuse(path, 'no configuration')
-        match = front.find_queue(request.host, request.path)
-        if match is None:
-            return self._plain(http.HTTPStatus.NOT_FOUND)
         if not match.rest:
             pending = front.pending(match.route.name)
             return self._json(http.HTTPStatus.OK, {'pending': pending})
@@ -197,15 +213,9 @@
         return self._json(http.HTTPStatus.OK, {'state': state})
 
     async def _delete(
-        self, request: sanic.Request, path: str
+        self, _: sanic.Request, match: jobservice.QueueMatch
     ) -> sanic.HTTPResponse:
-        front = self._front
-        if not front.has_queues:
-            return self._refuse(path, 'no configuration')
-        match = front.find_queue(request.host, request.path)
-        if match is None:
-            return self._plain(http.HTTPStatus.NOT_FOUND)
-        if front.cancel(match.rest):
+        if self._front.cancel(match.rest):
             return self._json(http.HTTPStatus.OK, {})
         return self._plain(http.HTTPStatus.GONE)
 
@@ -221,7 +231,7 @@
     def _refuse(self, request_id: str, cause: str) -> sanic.HTTPResponse:
         self._front.refused(request_id, cause)
         return self._plain(
-            http.HTTPStatus.SERVICE_UNAVAILABLE, _retry_after(500.0)
+            http.HTTPStatus.SERVICE_UNAVAILABLE, _retry_after(_RETRY_MS)
         )
 
     def _plain(
