Look only at what has changed when tasks may start

Cause: after each submission, answer and report the dispatcher looked at every worker and every waiting job, and chose a worker by a pass over all for each task. Ruled out: the calls to workers alone; they take some 1.2 ms a job, the decisions took 1.7 ms at 176 workers and 8.8 ms where half as many jobs again come as the workers can carry.

Conclusion: between two looks at all (each tick), only jobs that have come to wait and workers that have got room can make a difference.

--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -38,6 +38,19 @@
         return self.lease_ms * _CLOCK_DRIFT + _LAPSE_MARGIN_MS
 
 
+@attrs.define
+class Changes:
+    """What may let waiting tasks start.
+
+    Attributes:
+        jobs_by_id: Jobs of which a task has come to wait.
+        workers_by_id: Workers that may have more room, or be trusted again.
+    """
+
+    jobs_by_id: dict[str, _state.JobState] = attrs.field(factory=dict)
+    workers_by_id: dict[str, _state.WorkerState] = attrs.field(factory=dict)
+
+
 class Context:
     """Jobs, workers and attempts; all changes go through here.
 
@@ -63,6 +76,7 @@
         self.workers_by_id: dict[str, _state.WorkerState] = {}
         self.orders_by_task: dict[model.TaskId, dict[str, _state.Order]] = {}
         self.expecting: list[_state.JobState] = []
+        self._changes = Changes()
         self._actions: list[_actions.Action] = []
         self._told: list[_state.JobState] = []
 
@@ -93,6 +107,23 @@
         """Asks for a log line about a change of belief."""
         self.ask(_actions.Noted(event, subject, detail))
 
+    # Changes.
+
+    def take_changes(self) -> Changes:
+        """Returns what has changed since the last call."""
+        taken = self._changes
+        self._changes = Changes()
+        return taken
+
+    def job_waits(self, state: _state.JobState, now: float) -> None:
+        """Lets a job's tasks wait for room."""
+        self.waiting.add(state, now)
+        self._changes.jobs_by_id[state.job.id] = state
+
+    def worker_changed(self, worker: _state.WorkerState) -> None:
+        """Notes that a worker may have more room, or be trusted again."""
+        self._changes.workers_by_id[worker.worker.id] = worker
+
     # Attempts.
 
     def add_order(
@@ -108,11 +139,17 @@
     ) -> None:
         """Takes out an attempt that can't run any more."""
         worker.remove(order)
+        self.worker_changed(worker)
         by_worker = self.orders_by_task.get(order.task, {})
         if by_worker.get(worker.worker.id) is order:
             del by_worker[worker.worker.id]
-        if not by_worker:
-            self.orders_by_task.pop(order.task, None)
+        if by_worker:
+            return
+        self.orders_by_task.pop(order.task, None)
+        state = self.jobs_by_id.get(order.task.job)
+        if state is not None and state.waiting:
+            # The task may have waited for the end of this very attempt.
+            self._changes.jobs_by_id[state.job.id] = state
 
     def stop(
         self,
@@ -145,7 +182,7 @@
             task.phase = _state.Phase.WAITING
             task.order = None
             state.waiting += 1
-            self.waiting.add(state, now)
+            self.job_waits(state, now)
 
     def drop_orders(
         self, worker: _state.WorkerState, cause: str, now: float
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -66,14 +66,14 @@
             return context.take_actions()
         state = _handover.make_state(home, message, now)
         context.jobs_by_id[message.job.id] = state
-        context.waiting.add(state, now)
+        context.job_waits(state, now)
         if state.left == 0:
             context.settle(state, model.JobEnd.COMPLETED, 'done before', now)
             return context.take_actions()
         _handover.find_earlier(context, state, message.placed, now)
         if not state.started and not _queue.could_ever_run(context, state):
             _queue.refuse(context, state, 'no worker is large enough', now)
-        _queue.fill(context, now)
+        _queue.fill_changed(context, now)
         return context.take_actions()
 
     def withdraw(self, home: str, job_id: str, now: float) -> _Actions:
@@ -159,7 +159,8 @@
         worker = self._context.workers_by_id.get(worker_id)
         if worker is not None:
             _reports.take(self._context, worker, report, now)
-            _queue.fill(self._context, now)
+            self._context.worker_changed(worker)
+            _queue.fill_changed(self._context, now)
         return self._context.take_actions()
 
     def silent(self, worker_id: str, cause: str, now: float) -> _Actions:
@@ -197,7 +198,7 @@
             )
             self._context.add_order(worker, late)
             self._context.stop(worker, late, 'given up before', now)
-        _queue.fill(self._context, now)
+        _queue.fill_changed(self._context, now)
         return self._context.take_actions()
 
     def stop_answered(
--- a/rosemaryroad/dispatching/_ends.py
+++ b/rosemaryroad/dispatching/_ends.py
@@ -105,4 +105,5 @@
             cleared.bad -= 1
             cleared.suspended_until = 0.0
             cleared.suspensions = max(0, cleared.suspensions - 1)
+            context.worker_changed(cleared)
     state.blamed.clear()
--- a/rosemaryroad/dispatching/_placement.py
+++ b/rosemaryroad/dispatching/_placement.py
@@ -1,6 +1,7 @@
 """Which worker a task goes to."""
 
 import collections.abc
+import heapq
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _run_times
@@ -36,61 +37,107 @@
     return not worker.orders_by_key
 
 
-def choose(
-    candidates: collections.abc.Sequence[_state.WorkerState],
-    state: _state.JobState,
-    task: _state.TaskState,
-    run_times: _run_times.RunTimes,
-    remote_factor: float,
-) -> _state.WorkerState | None:
-    """Chooses the worker for a task.
+class Candidates:
+    """The workers that a job's tasks may go to, the best one first.
+
+    They are ranked once for all tasks of a job: with 176 workers, a look at
+    each of them for each task took 0.3 ms of processor time a job.
 
     Args:
-        candidates: Workers that may run tasks of the job.
-        state: The job.
-        task: The task.
+        workers: Those that may be used now.
+        job: The job.
         run_times: The workers' paces.
         remote_factor: How many times as long a task takes away from the
             rack where its data is.
-
-    Returns:
-        The worker, or None where none has room.
+        now: The present time.
     """
-    job = state.job
-    best = None
-    best_score: tuple[float, float] | None = None
-    spared = _spared(candidates, task)
-    for worker in candidates:
-        if worker.full or not worker.fits(job.needs):
-            continue
-        if worker.worker.id in spared:
-            continue
-        if job.max_per_worker and _tasks_of(worker, job) >= job.max_per_worker:
-            continue
-        factor = run_times.slowness(worker.worker.id)
+
+    def __init__(
+        self,
+        workers: collections.abc.Iterable[_state.WorkerState],
+        job: model.Job,
+        run_times: _run_times.RunTimes,
+        remote_factor: float,
+        now: float,
+    ) -> None:
+        self._job = job
+        self._run_times = run_times
+        self._remote_factor = remote_factor
+        self._ranked = [
+            self._entry(number, worker)
+            for number, worker in enumerate(workers)
+            if worker.fits(job.needs) and may_run(worker, job, now)
+        ]
+        heapq.heapify(self._ranked)
+
+    def take(
+        self, spared: collections.abc.Container[str]
+    ) -> _state.WorkerState | None:
+        """Takes the best worker out, or returns None where none has room.
+
+        Args:
+            spared: Workers that the task must not go to.
+        """
+        passed = []
+        found = None
+        while self._ranked and found is None:
+            entry = heapq.heappop(self._ranked)
+            worker = entry[-1]
+            if worker.worker.id in spared or self._has_enough(worker):
+                passed.append(entry)
+            else:
+                found = worker
+        for entry in passed:
+            heapq.heappush(self._ranked, entry)
+        return found
+
+    def put_back(self, worker: _state.WorkerState) -> None:
+        """Puts a worker back that has got a task, if it has room left."""
+        if worker.fits(self._job.needs):
+            entry = self._entry(len(self._ranked), worker)
+            heapq.heappush(self._ranked, entry)
+
+    def _entry(
+        self, number: int, worker: _state.WorkerState
+    ) -> tuple[int, float, int, str, _state.WorkerState]:
+        job = self._job
+        factor = self._run_times.slowness(worker.worker.id)
         if job.rack and job.rack not in worker.worker.labels:
-            factor *= remote_factor
-        score = (round(factor / _PACE_STEP), worker.free_cores)
-        if best_score is None or score < best_score:
-            best = worker
-            best_score = score
-    return best
+            factor *= self._remote_factor
+        pace = round(factor / _PACE_STEP)
+        return pace, worker.free_cores, number, worker.worker.id, worker
+
+    def _has_enough(self, worker: _state.WorkerState) -> bool:
+        most = self._job.max_per_worker
+        return bool(most) and _tasks_of(worker, self._job) >= most
 
 
-def _spared(
-    candidates: collections.abc.Sequence[_state.WorkerState],
+def spared_workers(
+    workers: collections.abc.Iterable[_state.WorkerState],
+    job: model.Job,
     task: _state.TaskState,
+    now: float,
 ) -> set[str]:
     """Returns the workers that a task must not be tried at again.
 
     A worker that fails what it starts has room as often as any; tried
     there twice, a job fails by its attempts though others could do it.
     Where the task has failed everywhere, all may be tried.
+
+    Args:
+        workers: All that may be used, with or without room.
+        job: The job.
+        task: The task.
+        now: The present time.
     """
-    if not task.failed_on:
-        return task.failed_on
-    names = {worker.worker.id for worker in candidates}
-    return task.failed_on if names - task.failed_on else set()
+    failed_on = task.failed_on
+    if not failed_on:
+        return failed_on
+    are_others = any(
+        worker.worker.id not in failed_on and may_run(worker, job, now)
+        for worker in workers
+    )
+    return failed_on if are_others else set()
 
 
 def _tasks_of(worker: _state.WorkerState, job: model.Job) -> int:
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -23,25 +23,67 @@
 
 def fill(context: _context.Context, now: float) -> None:
     """Starts waiting tasks for as long as there is room."""
-    pool = [
-        worker
-        for worker in context.workers_by_id.values()
-        if worker.reported
-        and not worker.full
-        and worker.unanswered_at is None
-        and not context.must_wait(worker, now)
-    ]
+    context.take_changes()
+    pool = _usable(context, context.workers_by_id.values(), now)
     most = _most_free(pool)
     for state in context.waiting:
         if most <= 0:
             return
-        if not state.waiting or state.is_over or state.unseen:
-            continue
-        if state.job.needs.cores <= most:
+        if _is_waiting(state) and state.job.needs.cores <= most:
             _fill_job(context, state, pool, now)
             most = _most_free(pool)
 
 
+def fill_changed(context: _context.Context, now: float) -> None:
+    """Starts what may start since something has changed.
+
+    After each look at all, nothing that waits fits anywhere. Until the next
+    one, only jobs that have come to wait may find room, and only workers
+    that have got room may have some. Looking at all for each answer of 176
+    workers took 1.7 ms of processor time a job, or 8.8 ms at 1.5 times the
+    load: more than there is.
+    """
+    changes = context.take_changes()
+    if context.expecting:
+        # A report may free jobs that wait for it.
+        fill(context, now)
+        return
+    if not changes.jobs_by_id and not changes.workers_by_id:
+        return
+    pool = _usable(context, changes.workers_by_id.values(), now)
+    most = _most_free(pool)
+    for state in context.waiting:
+        if not _is_waiting(state):
+            continue
+        if state.job.id in changes.jobs_by_id:
+            everyone = context.workers_by_id.values()
+            _fill_job(context, state, _usable(context, everyone, now), now)
+        elif state.job.needs.cores <= most:
+            _fill_job(context, state, pool, now)
+        else:
+            continue
+        most = _most_free(pool)
+
+
+def _is_waiting(state: _state.JobState) -> bool:
+    return bool(state.waiting) and not state.is_over and not state.unseen
+
+
+def _usable(
+    context: _context.Context,
+    workers: collections.abc.Iterable[_state.WorkerState],
+    now: float,
+) -> list[_state.WorkerState]:
+    return [
+        worker
+        for worker in workers
+        if worker.taken_up_at is not None
+        and not worker.full
+        and worker.unanswered_at is None
+        and not context.must_wait(worker, now)
+    ]
+
+
 def _most_free(pool: collections.abc.Iterable[_state.WorkerState]) -> float:
     return max((worker.free_cores for worker in pool), default=0.0)
 
@@ -81,18 +123,15 @@
     While no worker is known at all, any may come.
     """
     job = state.job
-    known = [
-        worker
-        for worker in context.workers_by_id.values()
-        if worker.listed and worker.worker.service == job.service
-    ]
-    if not known:
-        return True
-    return any(
-        worker.could_fit(job.needs)
-        and (not job.label or job.label in worker.worker.labels)
-        for worker in known
-    )
+    are_known = False
+    for worker in context.workers_by_id.values():
+        if not worker.listed or worker.worker.service != job.service:
+            continue
+        are_known = True
+        has_label = not job.label or job.label in worker.worker.labels
+        if has_label and worker.could_fit(job.needs):
+            return True
+    return not are_known
 
 
 def _fill_job(
@@ -101,27 +140,33 @@
     pool: collections.abc.Sequence[_state.WorkerState],
     now: float,
 ) -> None:
-    candidates = [
-        worker for worker in pool if _placement.may_run(worker, state.job, now)
-    ]
+    candidates = _placement.Candidates(
+        pool, state.job, context.run_times, context.limits.remote_factor, now
+    )
     for task in state.tasks:
         if task.phase is not _state.Phase.WAITING:
             continue
         if task.id in context.orders_by_task:
             # An attempt that was given up may still run somewhere.
             continue
-        worker = _placement.choose(
-            candidates,
-            state,
-            task,
-            context.run_times,
-            context.limits.remote_factor,
-        )
+        worker = candidates.take(_spared(context, state, task, now))
         if worker is None:
             return
-        if worker.suspensions:
-            candidates.remove(worker)
         _start(context, state, task, worker, now)
+        if not worker.suspensions:
+            candidates.put_back(worker)
+
+
+def _spared(
+    context: _context.Context,
+    state: _state.JobState,
+    task: _state.TaskState,
+    now: float,
+) -> set[str]:
+    if not task.failed_on:
+        return task.failed_on
+    usable = _usable(context, context.workers_by_id.values(), now)
+    return _placement.spared_workers(usable, state.job, task, now)
 
 
 def _start(
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -104,13 +104,15 @@
 
 
 class PlayedLoad:
-    """A service of 24 workers under a random load.
+    """A service under a random load.
 
     Args:
         seed: Where the load comes from.
         load: How many times the usual load comes.
         seconds: For how long.
         load_at: Gives the load at a second, in place of ``load``.
+        kinds: The kinds of request, as they come to 24 workers.
+        workers: How many workers there are.
     """
 
     def __init__(
@@ -120,11 +122,13 @@
         seconds: float = 20.0,
         load_at=None,
         kinds: tuple[Kind, ...] = KINDS,
+        workers: int = 24,
     ) -> None:
         self._rng = random.Random(seed)
         self._load_at = load_at or (lambda _: load)
         self._seconds = seconds
         self._kinds = kinds
+        self._workers = workers
         self._events: list = []
         self._numbers = itertools.count()
         self.now = 0.0
@@ -139,8 +143,8 @@
     def play(self) -> dict[str, Tally]:
         """Plays the load to its end and returns what each kind got."""
         workers = []
-        for index in range(24):
-            worker = case.make_worker(f'w{index:02}', _SIZES[index % 3])
+        for index in range(self._workers):
+            worker = case.make_worker(f'w{index:03}', _SIZES[index % 3])
             self._pace[worker.id] = _PACES[(index // 3) % 3]
             workers.append(worker)
         self._do(self.dispatcher.workers_listed(workers, 0.0))
@@ -159,7 +163,7 @@
         heapq.heappush(self._events, entry)
 
     def _gap(self, kind: Kind, now: float) -> float:
-        rate = kind.per_s * self._load_at(now / 1000.0)
+        rate = kind.per_s * self._load_at(now / 1000.0) * self._workers / 24
         return now + self._rng.expovariate(rate) * 1000.0
 
     def _spread(self, mean: float, spread: float) -> float:
--- a/tests/dispatching/test_load.py
+++ b/tests/dispatching/test_load.py
@@ -1,5 +1,6 @@
 """Tests of what callers get under load, played into the decisions alone."""
 
+import time
 import unittest
 
 from tests.dispatching import played_load
@@ -43,3 +44,24 @@
         self.assertEqual(0.0, whole.held)
         self.assertGreater(whole.share, 0.75)
         self.assertGreater(whole.served, 0.9 * whole.jobs)
+
+
+class LargeServiceTest(unittest.TestCase):
+    """176 workers at one dispatcher."""
+
+    def test_the_processor_keeps_up_with_a_long_queue(self) -> None:
+        """Half as many jobs again come as the workers can carry.
+
+        Looking at every worker and every waiting job for each answer took
+        8.8 ms of processor time a job, so that a dispatcher with a whole
+        core fell behind at 110 jobs a second and its orders timed out;
+        looking at what has changed takes 0.7 ms.
+        """
+        played = played_load.PlayedLoad(3, load=1.5, seconds=1.5, workers=176)
+        began = time.process_time()
+        tallies = played.play()
+        took_ms = 1_000.0 * (time.process_time() - began)
+        whole = played_load.total(tallies)
+        self.assertGreater(whole.share, 0.9)
+        # The playing itself takes about as long as the decisions.
+        self.assertLess(took_ms / whole.jobs, 4.0)
