Remove the object store's adapter and the leases of single workers

Cause: nothing of the system has to be kept as an object, and the platform gives leases on whole workers, held by endpoints/_workers.py. Neither had a caller but tests of its own.

With them went the tests that proved nothing else: test_leases.py and its stand-in, ObjectsTest, and the object store's three rows in the table of faults of test_platform.py. A write of the platform's client is a POST always now, which the HTTP library sends once by itself; the guard against its repetition of PUT and DELETE went too. The rows of the table service still check that a broken write is sent once.

--- a/rosemaryroad/platform/__init__.py
+++ b/rosemaryroad/platform/__init__.py
@@ -1,15 +1,13 @@
 """Adapters to the platform.
 
 ``JobPlatformAdapter`` speaks to the users' platform and serves the daemon
-for jobs. The table service, object store and VM list over HTTP are those that
-the product assumed before; ``rosemaryroadd`` uses them.
+for jobs. The table service and VM list over HTTP are those that the product
+assumed before; ``rosemaryroadd`` uses them.
 """
 
 from rosemaryroad.platform._adapter import JobPlatformAdapter
 from rosemaryroad.platform._http import Timeouts
 from rosemaryroad.platform._minions import MinionClient
-from rosemaryroad.platform._objects import HttpObjectStore
-from rosemaryroad.platform._objects import ObjectStore
 from rosemaryroad.platform._records import VmKind
 from rosemaryroad.platform._records import VmRecord
 from rosemaryroad.platform._records import VmState
@@ -33,12 +31,10 @@
     'Committed',
     'Conflict',
     'HistoryLost',
-    'HttpObjectStore',
     'HttpTableService',
     'HttpVmList',
     'JobPlatformAdapter',
     'MinionClient',
-    'ObjectStore',
     'Put',
     'Row',
     'RowVersion',
--- a/rosemaryroad/platform/_http.py
+++ b/rosemaryroad/platform/_http.py
@@ -77,22 +77,6 @@
     """The platform's reply does not say what happened."""
 
 
-async def _once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # aiohttp by itself sends a PUT or DELETE a second time where the
-    # connection breaks, be it a kept one or a new one. The repetition may
-    # land after somebody else's later write and undo it; one would notice
-    # a blob that comes back after its deletion. aiohttp repeats only after
-    # its own errors, so the break becomes another one.
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _BrokenReply(_describe(error)) from error
-
-
 class Client:
     """One of the platform's services over HTTP.
 
@@ -146,11 +130,10 @@
         ) as error:
             raise errors.PlatformUnavailable(_describe(error)) from error
 
-    async def write(self, method: str, path: str, body: typing.Any) -> Reply:
-        """Writes something, once.
+    async def write(self, path: str, body: typing.Any) -> Reply:
+        """Writes something with a POST, which is sent once.
 
         Args:
-            method: The HTTP method.
             path: The path.
             body: Bytes, or an attrs object that is to be sent as JSON.
 
@@ -161,9 +144,7 @@
         if not isinstance(body, bytes):
             body = json.dumps(structure.unstructure(body)).encode()
         try:
-            return await self._request(
-                method, path, data=body, middlewares=(_once,)
-            )
+            return await self._request('POST', path, data=body)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/rosemaryroad/platform/_store.py
+++ b/rosemaryroad/platform/_store.py
@@ -140,9 +140,7 @@
         self, transaction: _table.Transaction
     ) -> _table.Committed | _table.Conflict:
         """Carries out a transaction; see the base class."""
-        reply = await self._client.write(
-            'POST', '/api/rows-tx', _encode(transaction)
-        )
+        reply = await self._client.write('/api/rows-tx', _encode(transaction))
         if reply.status == http.HTTPStatus.OK:
             return _table.Committed()
         if reply.status != http.HTTPStatus.PRECONDITION_FAILED:
--- a/rosemaryroad/platform/_table.py
+++ b/rosemaryroad/platform/_table.py
@@ -191,7 +191,6 @@
     async def transact(self, transaction: Transaction) -> Committed | Conflict:
         """Carries out a transaction; see the base class."""
         reply = await self._client.write(
-            'POST',
             '/table/transactions',
             transaction,
         )
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -28,19 +28,17 @@
     """The adapters to one stand-in."""
 
     table: platform.TableService
-    objects: platform.ObjectStore
     vms: platform.VmList
 
     @classmethod
     def to(cls, address: str) -> 'Adapters':
         return cls(
             platform.HttpTableService(address, TIMEOUTS),
-            platform.HttpObjectStore(address, TIMEOUTS),
             platform.HttpVmList(address, TIMEOUTS),
         )
 
     async def close(self) -> None:
-        for adapter in (self.table, self.objects, self.vms):
+        for adapter in (self.table, self.vms):
             await adapter.close()
 
 
--- a/tests/processes/test_cuts.py
+++ b/tests/processes/test_cuts.py
@@ -58,8 +58,8 @@
     DAEMONS = 2
 
     async def test_callers_are_served_as_before(self) -> None:
-        """Table, object store and VM list are down for all."""
-        for part in ('table', 'objects', 'vms'):
+        """Table and VM list are down for all."""
+        for part in ('table', 'vms'):
             await self.deployed.set_platform(part, down='drop')
         for daemon in self.daemons:
             client = await self.open(daemon)
--- a/tests/standins/_platform_state.py
+++ b/tests/standins/_platform_state.py
@@ -14,7 +14,6 @@
     """One of the services that the stand-in plays."""
 
     TABLE = 'table'
-    OBJECTS = 'objects'
     VMS = 'vms'
 
 
@@ -134,8 +133,6 @@
 
     tables: dict[str, dict[str, Row]] = attrs.field(factory=dict)
     stale_tables: dict[str, dict[str, Row]] = attrs.field(factory=dict)
-    blob_by_key: dict[str, bytes] = attrs.field(factory=dict)
-    stale_blob_by_key: dict[str, bytes] = attrs.field(factory=dict)
     vms: list[dict[str, typing.Any]] = attrs.field(factory=list)
     stale_vms: list[dict[str, typing.Any]] = attrs.field(factory=list)
     switches_by_part: dict[Part, Switches] = attrs.field(
@@ -151,7 +148,6 @@
         if switches.stale and not self.switches_by_part[part].stale:
             tables = self.tables
             self.stale_tables = {name: dict(tables[name]) for name in tables}
-            self.stale_blob_by_key = dict(self.blob_by_key)
             self.stale_vms = list(self.vms)
         self.switches_by_part[part] = switches
 
@@ -160,18 +156,6 @@
         stale = self.switches_by_part[Part.TABLE].stale
         return (self.stale_tables if stale else self.tables).get(table, {})
 
-    def blobs(self) -> dict[str, bytes]:
-        """Returns the blobs that a read sees, by key."""
-        stale = self.switches_by_part[Part.OBJECTS].stale
-        return self.stale_blob_by_key if stale else self.blob_by_key
-
-    def write_blob(self, key: str, blob: bytes | None) -> None:
-        """Puts a blob, or deletes the one that is there."""
-        self.counts_by_part[Part.OBJECTS].writes += 1
-        self.blob_by_key.pop(key, None)
-        if blob is not None:
-            self.blob_by_key[key] = blob
-
     def listed_vms(self) -> list[dict[str, typing.Any]]:
         """Returns the VM list that a read sees."""
         stale = self.switches_by_part[Part.VMS].stale
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,4 +1,4 @@
-"""A stand-in for the platform's table service, object store and VM list.
+"""A stand-in for the platform's table service and VM list.
 
 Run it with ``python -m tests.standins.platform --ready-file PATH``; it
 writes its ``IP:port`` there. ``/control`` holds the switches and counts.
@@ -121,19 +121,6 @@
     return sanic.response.json(structure.unstructure(result), status=status)
 
 
-async def _object(request: sanic.Request, key: str) -> _Reply | None:
-    state = _state(request)
-    if request.method == 'GET':
-        blob = state.blobs().get(key)
-        if blob is None:
-            return sanic.response.json({'error': 'no such blob'}, status=404)
-        return sanic.response.raw(blob)
-    blob = request.body if request.method == 'PUT' else None
-    work = functools.partial(state.write_blob, key, blob)
-    await _write(request, _Part.OBJECTS, work)
-    return sanic.response.empty()
-
-
 async def _get_vms(request: sanic.Request) -> _Reply:
     state = _state(request)
     switches = state.switches_by_part[_Part.VMS]
@@ -177,7 +164,6 @@
     (_get_row, '/table/row', ['GET']),
     (_get_rows, '/table/rows', ['GET']),
     (_post_transaction, '/table/transactions', ['POST']),
-    (_object, '/objects/<key:str>', ['GET', 'PUT', 'DELETE']),
     (_get_vms, '/vms', ['GET']),
     (_get_control, '/control', ['GET']),
     (_put_vms, '/control/vms/list', ['PUT']),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -48,9 +48,6 @@
         lambda a: a.table.transact(_transaction('x', _put('k'))),
         True,
     ),
-    _Operation('get', _Part.OBJECTS, lambda a: a.objects.get('k'), False),
-    _Operation('put', _Part.OBJECTS, lambda a: a.objects.put('k', b'v'), True),
-    _Operation('delete', _Part.OBJECTS, lambda a: a.objects.delete('k'), True),
     _Operation('list', _Part.VMS, lambda a: a.vms.list(), False),
 )
 
@@ -117,12 +114,11 @@
 
     async def test_an_answer_that_is_no_json(self) -> None:
         for operation in _OPERATIONS:
-            if operation.part is not _Part.OBJECTS:
-                with self.subTest(operation.name):
-                    self.fail_with(operation.part, down=_Down.GARBLE)
-                    raises = _UNKNOWN if operation.writes else _UNAVAILABLE
-                    with self.assertRaises(raises):
-                        await operation.call(self.adapters)
+            with self.subTest(operation.name):
+                self.fail_with(operation.part, down=_Down.GARBLE)
+                raises = _UNKNOWN if operation.writes else _UNAVAILABLE
+                with self.assertRaises(raises):
+                    await operation.call(self.adapters)
 
     async def test_nothing_listens(self) -> None:
         adapters = platform_case.Adapters.to(_NOTHING_LISTENS)
@@ -171,21 +167,6 @@
         self.assertEqual(2, result.rows[0].version)
 
 
-class ObjectsTest(platform_case.PlatformCase):
-    """The contract of the object store."""
-
-    async def test_blobs_come_back_byte_for_byte(self) -> None:
-        objects = self.adapters.objects
-        blob = bytes(range(256))
-        for key in ('plain', 'a b&c', 'ő'):
-            with self.subTest(key):
-                self.assertIsNone(await objects.get(key))
-                await objects.put(key, blob)
-                self.assertEqual(blob, await objects.get(key))
-                await objects.delete(key)
-                self.assertIsNone(await objects.get(key))
-
-
 class VmListTest(platform_case.PlatformCase):
     """The contract of the VM list."""
 
