Soak whole daemons under faults that come from outside

Daemons are processes behind loopback relays that know both ends; stores and workers are the stand-ins that the process tests use, now with rows that several servers share, a relay that holds one way, and workers' clocks of other rates. Faults are drawn from a seed.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-SOURCES = rosemaryroad tests bench demo harness deploy
+SOURCES = rosemaryroad tests bench demo harness deploy soak
 
-.PHONY: venv demo test lint format bench unit
+.PHONY: venv demo test lint format bench unit soak
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,3 +31,6 @@
 
 bench: venv
 	$(BIN)/python -m bench
+
+soak: venv
+	$(BIN)/python -m soak
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: whole daemons under faults that come from outside."""
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,171 @@
+"""Clients that hand jobs in and keep what they hear."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+import aiohttp
+import attrs
+
+_HOST = 'jobs.example'
+_MS_PER_SECOND = 1000.0
+
+# When a client without an answer comes again, as the platform says.
+_AGAIN_S = 1.3
+_TRIES = 4
+
+# Without an answer so long after its deadline a client gives the
+# connection up; the daemon should have answered by then.
+_GRACE_S = 0.5
+
+_BROKEN = 0
+_SILENT = -1
+
+
+@attrs.define
+class Try:
+    """One time that a client handed a job in.
+
+    Attributes:
+        daemon: The daemon, by number.
+        began: When, by the steady clock.
+        ended: When it was over.
+        status: The answer's status, 0 for a connection that broke, -1 for
+            no answer within the client's time.
+        state: What the answer says of the job.
+    """
+
+    daemon: int
+    began: float
+    ended: float = 0.0
+    status: int = _SILENT
+    state: str = ''
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection broke before an answer."""
+        return self.status == _BROKEN
+
+
+@attrs.define
+class Asked:
+    """A job as its client knows it."""
+
+    job: str
+    tasks: int
+    tries: list[Try] = attrs.field(factory=list)
+
+    @property
+    def is_completed(self) -> bool:
+        """Whether a client heard that all is done."""
+        return any(item.state == 'completed' for item in self.tries)
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the clients heard nothing but that it hasn't run."""
+        refused = [item.status in (429, 503) for item in self.tries]
+        return bool(refused) and all(refused)
+
+
+class Clients:
+    """Hands jobs in at random and keeps connections open.
+
+    Args:
+        callers: Where each daemon serves callers.
+        prefix: Returns the prefix of the queue that is in force.
+        is_up: Tells whether the balancer sends callers to a daemon.
+        rng: Where the load comes from.
+    """
+
+    def __init__(
+        self,
+        callers: collections.abc.Sequence[str],
+        prefix: str,
+        is_up: collections.abc.Callable[[int], bool],
+        rng: random.Random,
+    ) -> None:
+        self.asked: list[Asked] = []
+        self._callers = callers
+        self._prefix = prefix
+        self._is_up = is_up
+        self._rng = rng
+        self._session: aiohttp.ClientSession | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> 'Clients':
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._session.close()
+
+    async def press(self, jobs_per_s: float, seconds: float) -> None:
+        """Hands jobs in for a while; their answers come later."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            self.start(self._pick(), self._rng.choice((1, 1, 2, 4, 8)))
+            await asyncio.sleep(self._rng.expovariate(jobs_per_s))
+
+    def start(self, daemon: int, tasks: int, tries: int = _TRIES) -> Asked:
+        """Hands one job in."""
+        asked = Asked(f'{self._rng.getrandbits(64):016x}', tasks)
+        self.asked.append(asked)
+        task = asyncio.create_task(self._ask(asked, daemon, tries))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return asked
+
+    async def finish(self) -> None:
+        """Waits until every client is through."""
+        while self._tasks:
+            await asyncio.gather(*list(self._tasks))
+
+    async def _ask(self, asked: Asked, daemon: int, tries: int) -> None:
+        deadline_ms = self._rng.choice((1_500, 2_300, 4_000))
+        for _ in range(tries):
+            found = Try(daemon, time.monotonic())
+            asked.tries.append(found)
+            await self._try(asked, found, deadline_ms)
+            found.ended = time.monotonic()
+            if found.status not in (_BROKEN, 502, 504):
+                return
+            await asyncio.sleep(_AGAIN_S)
+            daemon = self._pick()
+
+    async def _try(self, asked: Asked, found: Try, deadline_ms: int) -> None:
+        try:
+            async with (
+                asyncio.timeout(deadline_ms / _MS_PER_SECOND + _GRACE_S),
+                self._session.post(
+                    f'http://{self._callers[found.daemon]}'
+                    f'{self._prefix}{asked.job}',
+                    json=_body(asked.tasks),
+                    headers={
+                        'Host': _HOST,
+                        'X-Deadline-Ms': str(deadline_ms),
+                    },
+                ) as reply,
+            ):
+                data = await reply.json() if reply.status == 200 else {}
+                found.state = data.get('state', '')
+                found.status = reply.status
+        except TimeoutError:
+            found.status = _SILENT
+        except aiohttp.ClientError:
+            found.status = _BROKEN
+
+    def _pick(self) -> int:
+        numbers = range(len(self._callers))
+        ready = [number for number in numbers if self._is_up(number)]
+        return self._rng.choice(ready or list(numbers))
+
+
+def _body(tasks: int) -> dict[str, object]:
+    step = {'count': tasks, 'cpu': 27_000, 'mem_mb': 64, 'est_ms': 40}
+    return {'spec': 'payload', 'best_effort': True, 'steps': [step]}
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,96 @@
+"""Plays one seed."""
+
+import asyncio
+import pathlib
+import random
+import tempfile
+import time
+
+import attrs
+
+from soak import checks
+from soak import clients as clients_module
+from soak import faults as faults_module
+from soak import plan
+from soak import world as world_module
+
+# Links, leases and quarantines are through with the faults by then: a worker
+# is suspended for 8 s at most, a daemon that stepped aside for 5 s.
+_CALM_S = 9.0
+
+# What nobody waits for is stopped, or lapses, within a lease and a round.
+_STOPPED_S = 2.5
+
+
+@attrs.frozen
+class Outcome:
+    """What a seed has shown.
+
+    Attributes:
+        seed: The seed.
+        faults: What was played.
+        broken: The promises that were broken.
+        jobs: How many jobs were asked for while faults came.
+        completed: How many of them were done.
+        lines: The daemons' logs, by name.
+    """
+
+    seed: int
+    faults: tuple[plan.Fault, ...]
+    broken: list[checks.Broken]
+    jobs: int
+    completed: int
+    lines: dict[str, list[str]]
+
+
+async def play(seed: int, shape: plan.Shape) -> Outcome:
+    """Plays the faults of a seed and judges what was seen."""
+    faults = plan.draw(seed, shape)
+    with tempfile.TemporaryDirectory() as folder:
+        async with world_module.World(shape, pathlib.Path(folder)) as world:
+            return await _play(world, seed, shape, faults)
+
+
+async def _play(
+    world: world_module.World,
+    seed: int,
+    shape: plan.Shape,
+    faults: tuple[plan.Fault, ...],
+) -> Outcome:
+    callers = [daemon.callers for daemon in world.daemons]
+    clients = clients_module.Clients(
+        callers,
+        world_module.PREFIX,
+        lambda number: world.daemons[number].is_ready,
+        random.Random(seed),
+    )
+    async with clients:
+        began = time.monotonic()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(faults_module.play(world, faults))
+            tasks.create_task(clients.press(shape.jobs_per_s, shape.seconds))
+        await clients.finish()
+        during = list(clients.asked)
+        await asyncio.sleep(_CALM_S)
+        await world.wait_ready()
+        probes = [
+            clients.start(number, tasks=2, tries=1)
+            for number in range(shape.daemons)
+            for _ in range(3)
+        ]
+        await clients.finish()
+        await asyncio.sleep(_STOPPED_S)
+        broken = checks.judge(world, clients.asked, faults, began)
+        broken += checks.served(probes)
+        broken += checks.nothing_runs(world)
+    return Outcome(
+        seed,
+        faults,
+        broken,
+        len(during),
+        sum(item.is_completed for item in during),
+        {
+            f'entry-{daemon.number}': daemon.all_lines()
+            for daemon in world.daemons
+        },
+    )
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -65,14 +65,20 @@
         minion_id: Its id.
         millicores: Its room.
         work_ms: How long each task takes.
+        clock_rate: How fast its clock runs.
     """
 
     def __init__(
-        self, minion_id: str, millicores: int = 64_000, work_ms: float = 30.0
+        self,
+        minion_id: str,
+        millicores: int = 64_000,
+        work_ms: float = 30.0,
+        clock_rate: float = 1.0,
     ) -> None:
         self.id = minion_id
         self.millicores = millicores
         self.work_ms = work_ms
+        self.clock_rate = clock_rate
         self.needs_millicores = 27_000
         self.faults = MinionFaults()
         self.runs: list[Run] = []
@@ -137,7 +143,7 @@
         return found
 
     def _clock_ms(self) -> int:
-        return int(time.monotonic() * MS_PER_SECOND) + 5_000
+        return int(time.monotonic() * MS_PER_SECOND * self.clock_rate) + 5_000
 
     async def _misbehave(
         self, request: sanic.Request
--- a/tests/standins/job_store.py
+++ b/tests/standins/job_store.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import collections
+import collections.abc
 import json
 
 import attrs
@@ -35,16 +36,67 @@
     garble: bool = False
 
 
-class JobStore:
+class StoreRows:
     """Rows by table and key, with a history of changes."""
 
     def __init__(self) -> None:
-        self.faults = StoreFaults()
-        self.calls: collections.Counter[str] = collections.Counter()
         self.version = 1
         self.history_from = 0
+        self.changed = asyncio.Event()
         self._row_by_name: dict[tuple[str, str], dict] = {}
-        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Writes a row as another writer would; bytes go in as they are."""
+        data = value if isinstance(value, bytes) else _json(value)
+        encoded = base64.b64encode(data).decode()
+        self.put_raw(table, key, part='', value=encoded)
+
+    def put_raw(self, table: str, key: str, **fields: object) -> None:
+        """Writes a row whose fields may be of any type."""
+        self.version += 1
+        row = {'table': table, 'key': key, 'schema_version': self.version}
+        self._row_by_name[table, key] = row | fields
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def remove(self, table: str, key: str) -> None:
+        """Drops a row."""
+        self.put_raw(table, key, deleted=True)
+
+    def find(self, table: str, key: str) -> dict | None:
+        """Returns a row, or what is kept of one that was dropped."""
+        return self._row_by_name.get((table, key))
+
+    def of_table(self, table: str, after: int) -> list[dict]:
+        """Returns the rows of a table that are newer than a version."""
+        return sorted(
+            (
+                row
+                for (name, _), row in self._row_by_name.items()
+                if name == table and row['schema_version'] > after
+            ),
+            key=lambda row: row['key'],
+        )
+
+
+class JobStore:
+    """Serves rows, at an address and with faults of its own.
+
+    Args:
+        rows: The rows; several servers may share them.
+        show: Called with each row that is read; returns it as the reader
+            is to see it.
+    """
+
+    def __init__(
+        self,
+        rows: StoreRows | None = None,
+        show: collections.abc.Callable[[dict], dict] = lambda row: row,
+    ) -> None:
+        self.faults = StoreFaults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.rows = StoreRows() if rows is None else rows
+        self._show = show
         self._serving: _serve.Serving | None = None
 
     @property
@@ -52,6 +104,11 @@
         """Where it listens, as ``IP:port``."""
         return self._serving.address
 
+    @property
+    def version(self) -> int:
+        """The newest version of any row."""
+        return self.rows.version
+
     async def start(self) -> None:
         """Listens on loopback."""
         app = _serve.make_app('job-store')
@@ -70,57 +127,28 @@
 
     def put(self, table: str, key: str, value: object) -> None:
         """Writes a row as another writer would; bytes go in as they are."""
-        data = value if isinstance(value, bytes) else _json(value)
-        self.version += 1
-        self._row_by_name[table, key] = {
-            'table': table,
-            'part': '',
-            'key': key,
-            'value': base64.b64encode(data).decode(),
-            'schema_version': self.version,
-        }
-        self._tell()
+        self.rows.put(table, key, value)
 
     def put_raw(self, table: str, key: str, **fields: object) -> None:
         """Writes a row whose fields may be of any type."""
-        self.version += 1
-        row = {'table': table, 'key': key, 'schema_version': self.version}
-        self._row_by_name[table, key] = row | fields
-        self._tell()
+        self.rows.put_raw(table, key, **fields)
 
     def remove(self, table: str, key: str) -> None:
         """Drops a row."""
-        self.version += 1
-        self._row_by_name[table, key] = {
-            'table': table,
-            'key': key,
-            'schema_version': self.version,
-            'deleted': True,
-        }
-        self._tell()
+        self.rows.remove(table, key)
 
     def value(self, table: str, key: str) -> object:
         """Returns a row's value, read as JSON."""
-        row = self._row_by_name[table, key]
-        return json.loads(base64.b64decode(row['value']))
+        return json.loads(
+            base64.b64decode(self.rows.find(table, key)['value'])
+        )
 
     def forget_history(self) -> None:
         """Drops all changes so far from the history."""
-        self.history_from = self.version
-
-    def _tell(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.rows.history_from = self.rows.version
 
     def _rows(self, table: str, after: int = 0) -> list[dict]:
-        return sorted(
-            (
-                row
-                for (name, _), row in self._row_by_name.items()
-                if name == table and row['schema_version'] > after
-            ),
-            key=lambda row: row['key'],
-        )
+        return [self._show(row) for row in self.rows.of_table(table, after)]
 
     async def _misbehave(
         self, request: sanic.Request
@@ -138,7 +166,8 @@
         return None
 
     def _reply(self, **fields: object) -> sanic.HTTPResponse:
-        body = {'schema_version': self.version, 'now_ms': 1, **fields}
+        version = self.rows.version
+        body = {'schema_version': version, 'now_ms': 1, **fields}
         return sanic.response.raw(_json(body), content_type='application/json')
 
     async def _get(self, request: sanic.Request) -> sanic.HTTPResponse:
@@ -158,20 +187,20 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + wait_s
         while not self._rows(table, after) and loop.time() < until:
-            changed = self._changed
+            changed = self.rows.changed
             try:
                 async with asyncio.timeout_at(until):
                     await changed.wait()
             except TimeoutError:
                 break
-        if after < self.history_from:
+        if after < self.rows.history_from:
             return sanic.response.text('', status=410)
         return self._reply(rows=self._rows(table, after))
 
     async def _transact(self, request: sanic.Request) -> sanic.HTTPResponse:
         body = request.json
         rows = [
-            self._row_by_name.get((item['table'], item['key']))
+            self.rows.find(item['table'], item['key'])
             for item in body['expected_rev']
         ]
         versions = [
@@ -181,7 +210,7 @@
         wanted = [item['schema_version'] for item in body['expected_rev']]
         if versions != wanted:
             found = [row for row in rows if row is not None]
-            body = {'schema_version': self.version, 'rows': found}
+            body = {'schema_version': self.rows.version, 'rows': found}
             return sanic.response.raw(_json(body), status=412)
         for item in body['puts']:
             value = base64.b64decode(item['value'])
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -60,6 +60,7 @@
         self.swallowed_bytes = 0
         self._target = target
         self._mode = Mode.PASS
+        self._is_one_way = False
         self._delay_s = 0.0
         self._pairs: set[_Pair] = set()
         self._listener: socket.socket | None = None
@@ -75,8 +76,14 @@
         host, port = self._listener.getsockname()[:2]
         return model.Address(host, port)
 
-    def set_mode(self, mode: Mode) -> None:
-        """Changes what happens to bytes and connections from now on."""
+    def set_mode(self, mode: Mode, one_way: bool = False) -> None:
+        """Changes what happens to bytes and connections from now on.
+
+        Args:
+            mode: What happens.
+            one_way: Whether bytes towards the target pass all the same.
+        """
+        self._is_one_way = one_way
         if mode is Mode.DROP and self._mode is not mode:
             self._stop_accepting()
             loop = asyncio.get_running_loop()
@@ -187,9 +194,10 @@
         while True:
             due, data = await queue.get()
             await asyncio.sleep(max(0.0, due - loop.time()))
-            while self._mode in (Mode.HOLD, Mode.DROP):
+            passes = self._is_one_way and writer is pair.writers[-1]
+            while self._mode in (Mode.HOLD, Mode.DROP) and not passes:
                 await self._changed.wait()
-            if pair.dead or self._mode is Mode.SWALLOW:
+            if pair.dead or (self._mode is Mode.SWALLOW and not passes):
                 # A stream with a hole in it can't be taken up again.
                 pair.dead = True
                 self.swallowed_bytes += len(data)
