Take the ports of tests' daemons from below those of connections

Played again, three times three runs of the class side by side, with the daemons' logs: 4 of some 90 starts of three daemons ended with 'address already in use'. The ports were free when they were chosen and given to connections of other processes before the daemon bound them. Ruled out: the daemon's own start, which waited for nothing.

--- a/soak/world.py
+++ b/soak/world.py
@@ -4,9 +4,7 @@
 import collections.abc
 import contextlib
 import pathlib
-import random
 import signal
-import socket
 import sys
 import time
 
@@ -15,6 +13,7 @@
 import yaml
 
 from harness import deployment
+from harness import ports
 from soak import network
 from soak import plan
 from tests.standins import job_minion
@@ -60,10 +59,14 @@
     """One daemon that is started again whenever it ends."""
 
     def __init__(
-        self, number: int, folder: pathlib.Path, store: str, ports: list[str]
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store: str,
+        addresses: list[str],
     ) -> None:
         self.number = number
-        self.callers, self.readiness, operators, self.peers = ports
+        self.callers, self.readiness, operators, self.peers = addresses
         self.ended: list[Ended] = []
         self.lines: list[str] = []
         self.is_ready = False
@@ -282,8 +285,10 @@
         await store.start()
         self._stack.push_async_callback(store.stop)
         self.stores.append(store)
-        ports = _free_addresses(4)
-        self.daemons.append(Daemon(number, self._folder, store.address, ports))
+        addresses = ports.free_addresses(4)
+        self.daemons.append(
+            Daemon(number, self._folder, store.address, addresses)
+        )
 
     async def _make_worker(self) -> job_minion.JobMinion:
         number = next(self._numbers)
@@ -316,16 +321,3 @@
                 return reply.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return False
-
-
-def _free_addresses(count: int) -> list[str]:
-    """Returns addresses that nobody listens on just now."""
-    held = [socket.socket() for _ in range(count)]
-    for item in held:
-        # Below the range from which the system takes ports of clients.
-        item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        item.bind(('127.0.0.1', random.randint(12_000, 32_000)))
-    ports = [item.getsockname()[1] for item in held]
-    for item in held:
-        item.close()
-    return [f'127.0.0.1:{port}' for port in ports]
--- a/tests/processes/job_case.py
+++ b/tests/processes/job_case.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import secrets
-import socket
 import sys
 import tempfile
 import unittest
@@ -12,6 +11,7 @@
 import yaml
 
 from harness import deployment
+from harness import ports
 from rosemaryroad import errors
 from tests.standins import job_minion
 from tests.standins import job_store
@@ -23,24 +23,13 @@
 _TIMEOUT_S = 60.0
 
 
-def _free_addresses(count: int) -> list[str]:
-    """Returns addresses that nobody listens on just now."""
-    held = [socket.socket() for _ in range(count)]
-    for item in held:
-        item.bind(('127.0.0.1', 0))
-    ports = [item.getsockname()[1] for item in held]
-    for item in held:
-        item.close()
-    return [f'127.0.0.1:{port}' for port in ports]
-
-
 class JobDaemon:
     """One daemon, its addresses and its settings file."""
 
     def __init__(self, name: str, folder: pathlib.Path, store: str) -> None:
         self.name = name
         self.process: deployment.Process | None = None
-        addresses = _free_addresses(4)
+        addresses = ports.free_addresses(4)
         self.callers, self.readiness, self.operators, peers = addresses
         self._settings = folder / f'{name}.yaml'
         settings = {
@@ -82,11 +71,13 @@
         DAEMONS: How many daemons there are.
         MINIONS: How many minions there are.
         WORK_MS: How long each task takes.
+        CELLS: How many cells a row of the store names, or 0 for none.
     """
 
     DAEMONS = 3
     MINIONS = 3
     WORK_MS = 40.0
+    CELLS = 0
 
     async def asyncSetUp(self) -> None:
         asyncio.get_running_loop().set_debug(False)
@@ -98,6 +89,8 @@
         for number in range(self.MINIONS):
             await self.add_minion(f'i{number}')
         self.put_queues(1)
+        if self.CELLS:
+            self.store.put('rosemaryroad', 'cells', {'count': self.CELLS})
         self.daemons = [
             JobDaemon(
                 f'entry-{number}', pathlib.Path(folder), self.store.address
@@ -140,17 +133,27 @@
         self.store.put('op', 'config', body)
 
     async def wait_ready(self, daemon: JobDaemon) -> None:
-        """Waits until the balancer would send callers to a daemon."""
-        async with asyncio.timeout(_TIMEOUT_S):
-            while True:
-                try:
-                    url = f'http://{daemon.readiness}/api/readyz'
-                    async with self.session.get(url) as reply:
-                        if reply.status == 200:
-                            return
-                except aiohttp.ClientError:
-                    pass
-                await asyncio.sleep(0.02)
+        """Waits until the balancer would send callers to a daemon.
+
+        Raises:
+            Exited: The daemon has ended.
+            TimeoutError: It didn't become ready.
+        """
+
+        async def look() -> bool | None:
+            url = f'http://{daemon.readiness}/api/readyz'
+            try:
+                async with self.session.get(url) as reply:
+                    return True if reply.status == 200 else None
+            except aiohttp.ClientError:
+                return None
+
+        try:
+            await daemon.process.poll(look, _TIMEOUT_S)
+        except TimeoutError:
+            # The log says what the daemon waits for.
+            print(self.log_lines())
+            raise
 
     async def submit(
         self,
@@ -207,9 +210,10 @@
             await asyncio.sleep(1.3)
         raise errors.RosemaryroadError(f'{job_id} has no answer')
 
-    def dispatcher(self) -> JobDaemon:
-        """Returns the daemon that the row names."""
-        row = self.store.value('rosemaryroad', 'dispatcher')
+    def dispatcher(self, cell: int = 0) -> JobDaemon:
+        """Returns the daemon that a cell's row names."""
+        key = f'dispatcher/{cell}' if cell else 'dispatcher'
+        row = self.store.value('rosemaryroad', key)
         [found] = [item for item in self.daemons if item.name == row['vm']]
         return found
 
