--- a/rosemaryroad/dispatching/_waiting.py
+++ b/rosemaryroad/dispatching/_waiting.py
@@ -9,6 +9,15 @@
 
 _RANK = operator.attrgetter('rank')
 
+# An answer is of some use to its caller up to so many times its objective,
+# as the users' sheets weigh it.
+_OF_USE = 3.0
+
+# Where a job stands by its lateness; one that hasn't begun comes one later.
+_IN_TIME = 0
+_LATE = 1
+_TOO_LATE = 3
+
 
 class WaitingJobs:
     """Keeps jobs in order; ranks change only when they are refreshed.
@@ -57,13 +66,19 @@
         # worth 0.77, first come first served 0.51. Among them those that
         # have begun come first, and the shortest: what was done for them
         # is lost if the rest never runs (0.886 in place of 0.878 of the
-        # worth in a burst of twice the load).
+        # worth in a burst of twice the load). Those that are too late to
+        # be of use come after them (0.895 in place of 0.887 at 1.5 times
+        # the load, six seeds).
         job = state.job
         expected = self._run_times.expected_ms(job.queue, job.estimate_ms)
         state.expected_ms = expected
         terms = job.terms
-        due = state.arrived + terms.slack_factor * expected + terms.target_ms
+        objective = terms.slack_factor * expected + terms.target_ms
+        due = state.arrived + objective
         if now + expected <= due:
-            state.rank = (0, due)
-        else:
-            state.rank = (1 if state.started else 2, state.left * expected)
+            state.rank = (_IN_TIME, due)
+            return
+        is_of_use = now + expected <= state.arrived + _OF_USE * objective
+        lateness = _LATE if is_of_use else _TOO_LATE
+        begun = 0 if state.started else 1
+        state.rank = (lateness + begun, state.left * expected)
--- a/tests/dispatching/test_load.py
+++ b/tests/dispatching/test_load.py
@@ -45,6 +45,17 @@
         self.assertGreater(whole.share, 0.75)
         self.assertGreater(whole.served, 0.9 * whole.jobs)
 
+    def test_answers_that_are_too_late_hold_up_no_others(self) -> None:
+        """Half as many jobs again come as the workers can carry.
+
+        Jobs wait so long that some can't end within three times their
+        objective, when their callers have left. Run before others that
+        are merely late, they cost these theirs: 0.898 of the worth was
+        earned of this seed's load, 0.923 is now.
+        """
+        whole = played_load.total(self._play(load=1.5))
+        self.assertGreater(whole.share, 0.91)
+
 
 class LargeServiceTest(unittest.TestCase):
     """176 workers at one dispatcher."""
