Answer the clients that a leaving VM can't serve as given up

Ruled out: the drain's length; these jobs waited for a cut to heal.

Conclusion: each held job gets its last, true answer before the listeners close; a test fails without it.

--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -193,9 +193,9 @@
             held, jobservice.JobAnswer(end, 'settled', message.retry_after_ms)
         )
 
-    def log_held(self) -> None:
-        """Logs the jobs whose clients will hear nothing."""
-        for held in self._held_by_id.values():
+    def give_up_held(self) -> None:
+        """Answers the clients whose jobs can't end here any more."""
+        for held in list(self._held_by_id.values()):
             logs.event(
                 _LOG,
                 logging.WARNING,
@@ -207,6 +207,10 @@
                 tasks=held.job.tasks,
                 age_ms=self._clock.now() - held.arrived,
             )
+            end = model.JobEnd.GIVEN_UP
+            if not held.handed_ever:
+                end = model.JobEnd.NOT_RUN
+            self._end(held, jobservice.JobAnswer(end, 'shut down', _RETRY_MS))
 
     def _cell_of(self, held: _Held) -> int | None:
         if self._cells is None:
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -195,7 +195,8 @@
         # and the end of its connection would be cut off unanswered.
         self.front.is_closed = True
         answered = not self._home.jobs_held
-        self._home.log_held()
+        self._home.give_up_held()
+        await self._clock.sleep(_DRAIN_POLL_MS)
         await self._adapter.stop_serving()
         await self._close()
         logs.event(
--- a/tests/jobserver/test_home.py
+++ b/tests/jobserver/test_home.py
@@ -190,3 +190,14 @@
         answer = await self.home.submit(job, 5.0)
         self.assertIs(model.JobEnd.GIVEN_UP, answer.end)
         self.assertEqual(1, len(self._sent(model.JobWithdrawn)))
+
+    async def test_what_is_held_at_the_end_is_given_up(self) -> None:
+        """A VM has to go while a job of its clients is still at work.
+
+        Cut off in the middle, the client heard of an internal error, which
+        doesn't tell it to come again elsewhere.
+        """
+        answer = await self._submit()
+        self.home.give_up_held()
+        self.assertIs(model.JobEnd.GIVEN_UP, (await answer).end)
+        self.assertEqual(0, self.home.jobs_held)
