Report daemons that never become ready, and end them

A daemon that isn't ready is a broken promise now, shown with its last line and kept with the logs, and all processes are ended.

--- a/soak/run.py
+++ b/soak/run.py
@@ -65,6 +65,8 @@
         random.Random(seed),
     )
     async with clients:
+        if not await world.is_ready():
+            return _not_ready(world, seed, 'at the start')
         began = time.monotonic()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(faults_module.play(world, faults))
@@ -72,7 +74,8 @@
         await clients.finish()
         during = list(clients.asked)
         await asyncio.sleep(_CALM_S)
-        await world.wait_ready()
+        if not await world.is_ready():
+            return _not_ready(world, seed, 'after the faults')
         probes = [
             clients.start(number, tasks=2, tries=1)
             for number in range(shape.daemons)
@@ -89,8 +92,17 @@
         broken,
         len(during),
         sum(item.is_completed for item in during),
-        {
-            f'entry-{daemon.number}': daemon.all_lines()
-            for daemon in world.daemons
-        },
+        world.lines(),
     )
+
+
+def _not_ready(world: world_module.World, seed: int, when: str) -> Outcome:
+    broken = [
+        checks.Broken(
+            'every daemon becomes ready',
+            f'entry-{daemon.number} {when}: {daemon.all_lines()[-1:]}',
+        )
+        for daemon in world.daemons
+        if not daemon.is_ready
+    ]
+    return Outcome(seed, (), broken, 0, 0, world.lines())
--- a/soak/world.py
+++ b/soak/world.py
@@ -201,7 +201,6 @@
         for daemon in self.daemons:
             self._tasks.append(asyncio.create_task(daemon.run()))
             self._tasks.append(asyncio.create_task(self._balance(daemon)))
-        await self.wait_ready()
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -212,15 +211,25 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._stack.aclose()
 
-    async def wait_ready(self) -> None:
+    async def is_ready(self) -> bool:
         """Waits until the balancer sends callers to every daemon.
 
-        Raises:
-            TimeoutError: One didn't become ready.
+        Returns:
+            Whether it came to do so within half a minute.
         """
-        async with asyncio.timeout(_READY_S):
-            while not all(daemon.is_ready for daemon in self.daemons):
-                await asyncio.sleep(0.05)
+        until = time.monotonic() + _READY_S
+        while not all(daemon.is_ready for daemon in self.daemons):
+            if time.monotonic() > until:
+                return False
+            await asyncio.sleep(0.05)
+        return True
+
+    def lines(self) -> dict[str, list[str]]:
+        """Returns what all daemons have written, by their names."""
+        return {
+            f'entry-{daemon.number}': daemon.all_lines()
+            for daemon in self.daemons
+        }
 
     def put_queues(self, *prefixes: str) -> None:
         """Puts a new version of the operators' queues in force."""
