--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import logging
 import pathlib
+import signal
 import sys
 
 from soak import plan
@@ -38,7 +39,7 @@
     )
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        outcome = asyncio.run(run.play(seed, shape))
+        outcome = asyncio.run(_play(seed, shape))
         failed += bool(outcome.broken)
         _print(outcome)
         if outcome.broken and options.keep is not None:
@@ -47,6 +48,14 @@
     return 1 if failed else 0
 
 
+async def _play(seed: int, shape: plan.Shape) -> run.Outcome:
+    # Ended at once, the soak would leave its daemons running.
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run.play(seed, shape)
+
+
 def _print(outcome: run.Outcome) -> None:
     kinds = sorted({fault.kind.value for fault in outcome.faults})
     word = 'BROKEN' if outcome.broken else 'kept'
