Keep in one place what the members of a group know

The links tell which peers stand, so the members keep no set of their own; when cells may be proposed next is one time in place of two; whether a VM has told that it knows the workers is answered by the decisions, which know; the version of the queues is the VM's, not each cell's, and is sent once. New cells learn of the VMs where they are made, without setting all links' peers again. Behaviour is as before.

--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -167,14 +167,13 @@
             return False
         return now >= self._unsure_until and now - self._ticked_at < _PAUSE_MS
 
-    def pulse(self, table_version: int) -> model.Pulse:
+    def pulse(self) -> model.Pulse:
         """Returns the sign of life to send."""
         return model.Pulse(
             self._term,
             self.fence,
             self._dispatcher,
             self._claim,
-            table_version,
             self._leaving or self._ticked_at < self._aside_until,
             self._informed,
             self._cores,
@@ -188,15 +187,20 @@
         """Takes in which other entry VMs there are."""
         self._known = vms - {self._vm}
 
-    def inform(self, now: float) -> None:
+    def inform(self, now: float) -> bool:
         """Takes in that the workers and the other VMs are known.
 
         A VM that has just started behind a cut knows none; as the
         dispatcher it would refuse every job.
+
+        Returns:
+            Whether that is news.
         """
-        if not self._informed:
-            self._informed = True
-            self._informed_at = now
+        if self._informed:
+            return False
+        self._informed = True
+        self._informed_at = now
+        return True
 
     def joined(self, vm: str, now: float) -> None:
         """Takes in that a link to a peer stands."""
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -131,13 +131,10 @@
         self._queue_table = queue_table
         self._workers = workers
         self._vms: tuple[model.EntryVm, ...] = ()
-        self._linked: set[str] = set()
         self._cells: dispatching.Cells | None = None
         self._elections = [self._make_election(0)]
         self._rows: collections.abc.Mapping[str, platform.Row] = {}
-        self._started_at = clock.now()
-        self._cells_tried_at = clock.now()
-        self._told_informed = False
+        self._propose_at = clock.now() + _CELLS_AFTER_MS
         self._pulse_at = 0.0
         self._tasks: set[asyncio.Task] = set()
 
@@ -171,14 +168,12 @@
 
     def joined(self, vm: str) -> None:
         """Takes in that a peer can be reached."""
-        self._linked.add(vm)
         for election in self._elections:
             election.leadership.joined(vm, self._clock.now())
         self._links.tell(vm, self._make_pulses())
 
     def lost(self, vm: str) -> None:
         """Takes in that no link to a peer is left."""
-        self._linked.discard(vm)
         for election in self._elections:
             election.leadership.lost(vm, self._clock.now())
         self._handler.peer_lost(vm)
@@ -197,7 +192,7 @@
         self._set_vms(tuple(item for item in found if item is not None))
         row = rows.get(_rows.CELLS_KEY)
         if row is not None:
-            self._take_cells(_rows.read_cells(row), 'store')
+            self._take_cells(_rows.read(row, dispatching.Cells), 'store')
         for election in self._elections:
             election.rows_changed(rows)
         self._check_roles()
@@ -287,10 +282,8 @@
         table = self._queue_table()
         version = table.version if table is not None else 0
         return model.Pulses(
-            tuple(
-                election.leadership.pulse(version)
-                for election in self._elections
-            ),
+            tuple(election.leadership.pulse() for election in self._elections),
+            version,
             0 if self._cells is None else self._cells.count,
         )
 
@@ -303,9 +296,8 @@
             self._elections, message.by_cell, strict=False
         ):
             election.leadership.heard(vm, pulse, now)
-        for pulse in message.by_cell[:1]:
-            self._share_queues(vm, pulse)
-            self._share_directory(vm, pulse)
+        self._share_queues(vm, message)
+        self._share_directory(vm, message)
         self._check_roles()
 
     def _propose_cells(self, now: float) -> None:
@@ -313,11 +305,9 @@
         workers = self._workers()
         if self._cells is not None or not workers or not self._vms:
             return
-        if now - self._started_at < _CELLS_AFTER_MS:
+        if now < self._propose_at:
             return
-        if now - self._cells_tried_at < _rows.WRITE_AGAIN_MS:
-            return
-        self._cells_tried_at = now
+        self._propose_at = now + _rows.WRITE_AGAIN_MS
         self._spawn(self._write_cells(dispatching.cells_for(len(workers))))
 
     async def _write_cells(self, cells: dispatching.Cells) -> None:
@@ -342,15 +332,19 @@
         self._handler.cells_known(
             cells, [election.leadership for election in self._elections]
         )
-        self._set_vms(self._vms)
+        self.check_informed()
 
     def _add_election(self, cell: int) -> None:
         election = self._make_election(cell)
         self._elections.append(election)
-        for vm in self._linked:
+        for vm in self._links.linked():
             election.leadership.joined(vm, self._clock.now())
+        election.leadership.peers_known(self._vm_ids())
         election.rows_changed(self._rows)
 
+    def _vm_ids(self) -> frozenset[str]:
+        return frozenset(item.vm for item in self._vms)
+
     def _set_vms(self, vms: tuple[model.EntryVm, ...]) -> None:
         self._vms = vms
         addresses = {
@@ -358,23 +352,23 @@
         }
         self._links.set_peers(addresses)
         for election in self._elections:
-            election.leadership.peers_known(frozenset(addresses))
+            election.leadership.peers_known(self._vm_ids())
         self.check_informed()
 
     def check_informed(self) -> None:
         """Looks whether this VM knows enough to dispatch."""
         if not self._vms or self._cells is None or self._workers() is None:
             return
-        for election in self._elections:
-            election.leadership.inform(self._clock.now())
-        if not self._told_informed:
-            self._told_informed = True
+        now = self._clock.now()
+        news = [item.leadership.inform(now) for item in self._elections]
+        if any(news):
             # The others count on it, where this VM is the stronger one.
             self._pulse()
 
-    def _share_directory(self, vm: str, pulse: model.Pulse) -> None:
+    def _share_directory(self, vm: str, message: model.Pulses) -> None:
         workers = self._workers()
-        if not pulse.informed and workers is not None and self._vms:
+        knows = all(pulse.informed for pulse in message.by_cell)
+        if not knows and workers is not None and self._vms:
             # The peer has just started and may be parted from the store.
             self._links.tell(vm, model.DirectoryShared(workers, self._vms))
 
@@ -385,9 +379,9 @@
             self._handler.workers_shared(message.workers)
         self.check_informed()
 
-    def _share_queues(self, vm: str, pulse: model.Pulse) -> None:
+    def _share_queues(self, vm: str, message: model.Pulses) -> None:
         table = self._queue_table()
-        if table is not None and pulse.table_version < table.version:
+        if table is not None and message.table_version < table.version:
             # The peer may be parted from the store; it would go on with
             # queues that operators have taken away.
             self._links.tell(vm, model.QueuesShared(table))
--- a/rosemaryroad/jobserver/_rows.py
+++ b/rosemaryroad/jobserver/_rows.py
@@ -43,11 +43,6 @@
     return found
 
 
-def read_cells(row: platform.Row) -> dispatching.Cells | None:
-    """Reads the number of cells, or returns None for a row of no sense."""
-    return read(row, dispatching.Cells)
-
-
 def read(row: platform.Row, kind: type[attrs.AttrsInstance]):
     """Reads a row's value, or returns None for one of no sense."""
     try:
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -32,7 +32,6 @@
         dispatcher: The VM that dispatches for the sender, whose signs of
             life reach it, or ''.
         claim: What the sender itself claims to be.
-        table_version: The version of the queues that it has in force.
         leaving: Whether it is shutting down, or too slow to dispatch.
         informed: Whether it knows the workers and the other entry VMs.
         cores: Its share of a processor.
@@ -46,7 +45,6 @@
     fence: int
     dispatcher: str
     claim: Claim
-    table_version: int
     leaving: bool
     informed: bool
     cores: float = 1.0
@@ -63,10 +61,12 @@
     Attributes:
         by_cell: What concerns each cell, by its number. One that has just
             started and doesn't know the cells tells of the first alone.
+        table_version: The version of the queues that it has in force.
         cells: How many cells there are, or 0.
     """
 
     by_cell: tuple[Pulse, ...]
+    table_version: int = 0
     cells: int = 0
 
 
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -209,7 +209,7 @@
             return
         target = self.vm_by_name[receiver]
         if not target.frozen:
-            pulse = self.vm_by_name[sender].leadership.pulse(1)
+            pulse = self.vm_by_name[sender].leadership.pulse()
             target.leadership.heard(sender, pulse, self.now)
 
 
