--- a/rosemaryroad/peers/_links.py
+++ b/rosemaryroad/peers/_links.py
@@ -153,21 +153,18 @@
     def broadcast(
         self,
         make_message: collections.abc.Callable[
-            [str], model.Heartbeat | model.JobMessage | None
+            [str], model.Heartbeat | model.JobMessage
         ],
     ) -> None:
         """Sends each linked peer its message, such as a heartbeat.
 
         Args:
             make_message: Called with each peer's VM id. One that it
-                returns for many peers in a row is encoded once; a peer
-                for which it returns None gets nothing.
+                returns for many peers in a row is encoded once.
         """
         last, data = None, b''
         for link in self._table.all_current():
             message = make_message(link.vm)
-            if message is None:
-                continue
             if message is not last:
                 last, data = message, _codec.encode(message)
             link.tell(message, data)
