--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -104,7 +104,7 @@
                 return await asyncio.shield(held.answer)
         except TimeoutError:
             cause = 'deadline passed'
-            return self._time_out(held)
+            return _unserved(held, cause)
         finally:
             held.callers -= 1
             if held.callers == 0 and not held.answer.done():
@@ -150,7 +150,7 @@
             if self._dispatcher_of(held):
                 self._hand(held)
             elif now - self._alone_since(held) > _NO_DISPATCHER_MS:
-                self._refuse(held)
+                self._end(held, _unserved(held, 'no dispatcher'))
 
     def peer_lost(self, vm: str) -> None:
         """Takes in that messages to a VM may have been lost."""
@@ -207,10 +207,7 @@
                 tasks=held.job.tasks,
                 age_ms=self._clock.now() - held.arrived,
             )
-            end = model.JobEnd.GIVEN_UP
-            if not held.handed_ever:
-                end = model.JobEnd.NOT_RUN
-            self._end(held, jobservice.JobAnswer(end, 'shut down', _RETRY_MS))
+            self._end(held, _unserved(held, 'shut down'))
 
     def _cell_of(self, held: _Held) -> int | None:
         if self._cells is None:
@@ -303,21 +300,16 @@
             attempt=held.attempt,
         )
 
-    def _time_out(self, held: _Held) -> jobservice.JobAnswer:
-        # A dispatcher's word that tasks have started may be on its way, so
-        # only what was never handed over has certainly not run.
-        end = model.JobEnd.GIVEN_UP
-        if not held.handed_ever:
-            end = model.JobEnd.NOT_RUN
-        return jobservice.JobAnswer(end, 'deadline passed', _RETRY_MS)
-
-    def _refuse(self, held: _Held) -> None:
-        end = model.JobEnd.GIVEN_UP
-        if not held.handed_ever:
-            end = model.JobEnd.NOT_RUN
-        self._end(held, jobservice.JobAnswer(end, 'no dispatcher', _RETRY_MS))
-
     def _end(self, held: _Held, answer: jobservice.JobAnswer) -> None:
         self._held_by_id.pop(held.job.id, None)
         if not held.answer.done():
             held.answer.set_result(answer)
+
+
+def _unserved(held: _Held, cause: str) -> jobservice.JobAnswer:
+    # A dispatcher's word that tasks have started may be on its way, so only
+    # what was never handed over has certainly not run.
+    end = model.JobEnd.GIVEN_UP
+    if not held.handed_ever:
+        end = model.JobEnd.NOT_RUN
+    return jobservice.JobAnswer(end, cause, _RETRY_MS)
