--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -1,11 +1,11 @@
 """Which entry VMs there are, who dispatches, and what they tell."""
 
 import abc
-import asyncio
 import collections.abc
 import logging
 import random
 
+from rosemaryroad import _background
 from rosemaryroad import clock as clock_module
 from rosemaryroad import dispatching
 from rosemaryroad import errors
@@ -136,7 +136,9 @@
         self._rows: collections.abc.Mapping[str, platform.Row] = {}
         self._propose_at = clock.now() + _CELLS_AFTER_MS
         self._pulse_at = 0.0
-        self._tasks: set[asyncio.Task] = set()
+        self._background = _background.BackgroundTasks(
+            lambda error: logs.fault(_LOG, 'claim_failed', error)
+        )
 
     @property
     def stride(self) -> int:
@@ -216,8 +218,7 @@
 
     def close(self) -> None:
         """Ends what still runs."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._background.cancel()
 
     # Parts of the above.
 
@@ -256,7 +257,7 @@
             )
             wanted = election.leadership.wants_claim(now)
             if wanted is not None:
-                self._spawn(self._claim(election, wanted))
+                self._background.spawn(self._claim(election, wanted))
 
     async def _claim(
         self, election: _election.Election, wanted: dispatching.LeaseRow
@@ -308,7 +309,9 @@
         if now < self._propose_at:
             return
         self._propose_at = now + _rows.WRITE_AGAIN_MS
-        self._spawn(self._write_cells(dispatching.cells_for(len(workers))))
+        self._background.spawn(
+            self._write_cells(dispatching.cells_for(len(workers)))
+        )
 
     async def _write_cells(self, cells: dispatching.Cells) -> None:
         if await _rows.propose_cells(self._tables, cells):
@@ -385,13 +388,3 @@
             # The peer may be parted from the store; it would go on with
             # queues that operators have taken away.
             self._links.tell(vm, model.QueuesShared(table))
-
-    def _spawn(self, work: collections.abc.Coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.fault(_LOG, 'claim_failed', task.exception())
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -1,13 +1,13 @@
 """Holding one worker: its leases, its reports, and orders to it."""
 
 import abc
-import asyncio
 import collections.abc
 import logging
 import typing
 
 import attrs
 
+from rosemaryroad import _background
 from rosemaryroad import clock as clock_module
 from rosemaryroad import dispatching
 from rosemaryroad import endpoints
@@ -115,7 +115,9 @@
         self._clock = clock
         self._acknowledged = 0
         self._look = _Look()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = _background.BackgroundTasks(
+            lambda error: logs.fault(_LOG, 'worker_session_failed', error)
+        )
         self._closed = False
 
     def open(self) -> None:
@@ -125,8 +127,7 @@
     def close(self) -> None:
         """Ends at once; leases that nobody prolongs lapse."""
         self._closed = True
-        for task in list(self._tasks):
-            task.cancel()
+        self._background.cancel()
         self._client.forget(self.worker)
 
     def look(self) -> None:
@@ -160,14 +161,7 @@
         if self._closed:
             work.close()
             return
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.fault(_LOG, 'worker_session_failed', task.exception())
+        self._background.spawn(work)
 
     async def _hold(self) -> None:
         failures = 0
