--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -121,7 +121,7 @@
         self._ticked_at = now
         self._unsure_until = now
         self._wait_until = now
-        self._signs = _signs.Signs()
+        self._signs = _signs.Signs(SILENT_MS, self._silence_ms)
         self._known: frozenset[str] = frozenset()
         self._lost_at = now
         self._lost = ''
@@ -265,7 +265,7 @@
 
     def silent(self, now: float) -> tuple[str, ...]:
         """Returns the peers whose links stand but carry nothing."""
-        return self._signs.silent(now, SILENT_MS, self._silence_ms)
+        return self._signs.silent(now)
 
     def tick(self, now: float) -> None:
         """Looks at the time; to be called every few ten milliseconds."""
@@ -330,7 +330,7 @@
         # Where no other VM is better off, the load itself is too high.
         return any(
             pulse.informed and not pulse.leaving and not pulse.strained
-            for pulse in self._fresh(now).values()
+            for pulse in self._signs.fresh(now).values()
         )
 
     def _row_to_mend(self, now: float) -> LeaseRow | None:
@@ -341,9 +341,6 @@
             return None
         return LeaseRow(self._term, self._vm)
 
-    def _fresh(self, now: float) -> dict[str, model.Pulse]:
-        return self._signs.fresh(now, SILENT_MS, self._silence_ms)
-
     def _silence_ms(self, vm: str) -> float:
         # Whoever dispatches gives signs at the full rate: its loss leaves
         # everybody without one, that of another VM its own clients alone.
@@ -356,7 +353,7 @@
     def _best_other(self, now: float) -> str | None:
         best = None
         best_rank = None
-        for vm, pulse in self._signs.claiming(now, SILENT_MS).items():
+        for vm, pulse in self._signs.claiming(now).items():
             if pulse.leaving:
                 continue
             rank = _rank(pulse.claim, pulse.term, vm)
@@ -414,7 +411,7 @@
             return now - self._lost_at >= _AGREE_MS
         if now - self._informed_at < _INFORMED_MS:
             return False
-        if self._known and self._fresh(now).keys() >= self._known:
+        if self._known and self._signs.fresh(now).keys() >= self._known:
             return True
         return now - self._started_at >= _START_MS
 
@@ -424,7 +421,7 @@
         """Returns the peers in the same position, and whether all are."""
         staying = {
             vm: pulse
-            for vm, pulse in self._fresh(now).items()
+            for vm, pulse in self._signs.fresh(now).items()
             if not pulse.leaving
         }
         without = dict(staying)
@@ -462,27 +459,13 @@
 
     def _is_first(self, others: dict[str, model.Pulse]) -> bool:
         """Tells whether this VM comes before others that could act."""
-        settled = self._is_settled(self._ticked_at)
-        ours = (
-            not settled,
-            self._elsewhere,
-            -self._cores,
-            -self._started,
-            self._vm,
+        ours = _preference(self._vm, self.pulse())
+        return not any(
+            pulse.informed
+            and not pulse.strained
+            and _preference(vm, pulse) < ours
+            for vm, pulse in others.items()
         )
-        for vm, pulse in others.items():
-            theirs = (
-                not pulse.settled,
-                pulse.elsewhere,
-                -pulse.cores,
-                -pulse.started,
-                vm,
-            )
-            if pulse.strained:
-                continue
-            if pulse.informed and theirs < ours:
-                return False
-        return True
 
     def _is_settled(self, now: float) -> bool:
         # One that has just started waits for its links before it acts;
@@ -510,3 +493,16 @@
 def _rank(claim: model.Claim, term: int, vm: str) -> tuple[int, int, str]:
     """Returns what the best of several dispatchers has the lowest of."""
     return -int(claim), -term, vm
+
+
+def _preference(
+    vm: str, pulse: model.Pulse
+) -> tuple[bool, bool, float, int, str]:
+    """Returns what the VM that should act first has the lowest of."""
+    return (
+        not pulse.settled,
+        pulse.elsewhere,
+        -pulse.cores,
+        -pulse.started,
+        vm,
+    )
--- a/rosemaryroad/dispatching/_signs.py
+++ b/rosemaryroad/dispatching/_signs.py
@@ -18,9 +18,17 @@
 
 
 class Signs:
-    """The signs of life of the VMs that a link stands to."""
+    """The signs of life of the VMs that a link stands to.
 
-    def __init__(self) -> None:
+    Args:
+        least_ms: For how long any peer may be silent.
+        limit_ms: Returns for how long a peer may be silent; as long at
+            least.
+    """
+
+    def __init__(self, least_ms: float, limit_ms: _Limit) -> None:
+        self._least_ms = least_ms
+        self._limit_ms = limit_ms
         self._peer_by_vm: dict[str, _Peer] = {}
 
     def joined(self, vm: str, now: float) -> None:
@@ -45,54 +53,36 @@
         for peer in self._peer_by_vm.values():
             peer.heard_at = max(peer.heard_at, at)
 
-    def claiming(self, now: float, limit_ms: float) -> dict[str, model.Pulse]:
-        """Returns what the peers have told that give orders.
-
-        Args:
-            now: The present time.
-            limit_ms: For how long such a peer may be silent.
-        """
+    def claiming(self, now: float) -> dict[str, model.Pulse]:
+        """Returns what the peers have told that give orders."""
         return {
             vm: peer.pulse
             for vm, peer in self._peer_by_vm.items()
             if peer.pulse is not None
             and peer.pulse.claim is not model.Claim.NONE
-            and now - peer.heard_at < limit_ms
+            and not self._is_silent(vm, peer, now)
         }
 
-    def fresh(
-        self, now: float, least_ms: float, limit_ms: _Limit
-    ) -> dict[str, model.Pulse]:
-        """Returns what the peers have told that aren't silent.
-
-        Args:
-            now: The present time.
-            least_ms: For how long any peer may be silent.
-            limit_ms: Returns for how long a peer may be silent.
-        """
+    def fresh(self, now: float) -> dict[str, model.Pulse]:
+        """Returns what the peers have told that aren't silent."""
         return {
             vm: peer.pulse
             for vm, peer in self._peer_by_vm.items()
-            if peer.pulse is not None
-            and (
-                now - peer.heard_at < least_ms
-                or now - peer.heard_at < limit_ms(vm)
-            )
+            if peer.pulse is not None and not self._is_silent(vm, peer, now)
         }
 
-    def silent(
-        self, now: float, least_ms: float, limit_ms: _Limit
-    ) -> tuple[str, ...]:
-        """Returns the peers whose links stand but carry nothing.
-
-        Args:
-            now: The present time.
-            least_ms: For how long any peer may be silent.
-            limit_ms: Returns for how long a peer may be silent.
-        """
+    def silent(self, now: float) -> tuple[str, ...]:
+        """Returns the peers whose links stand but carry nothing."""
         return tuple(
             vm
             for vm, peer in self._peer_by_vm.items()
-            if now - peer.heard_at >= least_ms
-            and now - peer.heard_at >= limit_ms(vm)
+            if self._is_silent(vm, peer, now)
+        )
+
+    def _is_silent(self, vm: str, peer: _Peer, now: float) -> bool:
+        # Nearly all have been heard just now, and their limits cost more to
+        # find than all the rest.
+        silence_ms = now - peer.heard_at
+        return silence_ms >= self._least_ms and (
+            silence_ms >= self._limit_ms(vm)
         )
