Set daemons for jobs up in one place for tests and soak

The soak had copies of the settings, the start, the operators' queues and the callers' jobs of the process tests; both take them from harness/jobs now, with the same figures as before. Constants and a method of the soak's and the stand-in's that nothing used are gone.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,9 +14,6 @@
 # wrong from so long before its signal on.
 _CALM_S = 4.0
 
-# What a daemon may be still told of a job after its process has ended.
-_EXIT_CODES_OF_LEAVING = (0, 1)
-
 
 @attrs.frozen
 class Broken:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -8,9 +8,13 @@
 import aiohttp
 import attrs
 
-_HOST = 'jobs.example'
+from harness import jobs
+
 _MS_PER_SECOND = 1000.0
 
+# What clients think a task takes; workers take 60 to 400 ms.
+_ESTIMATE_MS = 150
+
 # When a client without an answer comes again, as the platform says.
 _AGAIN_S = 1.3
 _TRIES = 4
@@ -145,9 +149,9 @@
                 self._session.post(
                     f'http://{self._callers[found.daemon]}'
                     f'{self._prefix}{asked.job}',
-                    json=_body(asked.tasks),
+                    json=jobs.job_body(asked.tasks, _ESTIMATE_MS),
                     headers={
-                        'Host': _HOST,
+                        'Host': jobs.HOST,
                         'X-Deadline-Ms': str(deadline_ms),
                     },
                 ) as reply,
@@ -164,8 +168,3 @@
         numbers = range(len(self._callers))
         ready = [number for number in numbers if self._is_up(number)]
         return self._rng.choice(ready or list(numbers))
-
-
-def _body(tasks: int) -> dict[str, object]:
-    step = {'count': tasks, 'cpu': 27_000, 'mem_mb': 64, 'est_ms': 150}
-    return {'spec': 'payload', 'best_effort': True, 'steps': [step]}
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -44,16 +44,8 @@
     DAMAGED_ROW = 'damaged row'
 
 
-# Faults of one daemon, of some daemons' store, of one side of the network,
-# of one worker, or of all.
+# Faults of daemons, and of the network between them.
 DAEMON_KINDS = (Kind.KILL, Kind.LEAVE, Kind.FREEZE)
-STORE_KINDS = (
-    Kind.STORE_DOWN,
-    Kind.STORE_SILENT,
-    Kind.STORE_SLOW,
-    Kind.STORE_LOSES,
-    Kind.STORE_GARBLES,
-)
 NETWORK_KINDS = (
     Kind.CUT,
     Kind.SILENCE,
@@ -62,14 +54,6 @@
     Kind.DELAY,
     Kind.LINKS_DIE,
 )
-WORKER_KINDS = (
-    Kind.WORKER_CRASHES,
-    Kind.WORKER_LEAVES,
-    Kind.WORKER_LOSES,
-    Kind.WORKER_FAILS,
-    Kind.WORKER_HANGS,
-    Kind.WORKER_REFUSES,
-)
 
 
 @attrs.frozen
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,23 +5,22 @@
 import contextlib
 import pathlib
 import signal
-import sys
 import time
 
 import aiohttp
 import attrs
-import yaml
 
 from harness import deployment
-from harness import ports
+from harness import jobs
 from soak import network
 from soak import plan
 from tests.standins import job_minion
 from tests.standins import job_store
 
 PREFIX = '/lookups/'
-_HOST = 'jobs.example'
-_DOMAINS = ('szeged', 'bekes', 'kecskemet')
+
+# Workers that fail all that they start have to be met twice and more.
+_MAX_ATTEMPTS = 5
 
 # Workers take this long for a task. Long ones are still at work when a
 # dispatcher changes or a lease lapses, which is when one could run twice.
@@ -35,9 +34,6 @@
 _MISSES = 2
 _READY_S = 30.0
 
-# A daemon that is told to leave ends within this.
-_LEAVE_S = 8.0
-
 
 @attrs.define
 class Ended:
@@ -61,48 +57,24 @@
 class Daemon:
     """One daemon that is started again whenever it ends."""
 
-    def __init__(
-        self,
-        number: int,
-        folder: pathlib.Path,
-        store: str,
-        addresses: list[str],
-    ) -> None:
+    def __init__(self, number: int, setup: jobs.DaemonSetup) -> None:
         self.number = number
-        self.callers, self.readiness, operators, self.peers = addresses
+        self.callers = setup.callers
+        self.readiness = setup.readiness
+        self.peers = setup.peers
         self.ended: list[Ended] = []
         self.lines: list[str] = []
         self.is_ready = False
+        self._setup = setup
         self._process: deployment.Process | None = None
         self._told: signal.Signals | None = None
         self._told_at = 0.0
         self._closing = False
-        self._path = folder / f'entry-{number}.yaml'
-        listen = {
-            'callers': self.callers,
-            'readiness': self.readiness,
-            'operators': operators,
-            'peers': self.peers,
-        }
-        settings = {
-            'vm': f'entry-{number}',
-            'failure_domain': _DOMAINS[number % len(_DOMAINS)],
-            'region': 'alfold',
-            'listen': listen,
-            'platform': {'address': store},
-        }
-        self._path.write_text(yaml.safe_dump(settings))
 
     async def run(self) -> None:
         """Starts the process, and again each time it ends."""
         while not self._closing:
-            process = await deployment.Process.start(
-                f'entry-{self.number}',
-                sys.executable,
-                '-m',
-                'rosemaryroad.jobdaemon',
-                str(self._path),
-            )
+            process = await self._setup.start()
             self._process = process
             code = await process.wait_for_exit(None)
             self.lines += process.lines
@@ -234,24 +206,7 @@
     def put_queues(self, *prefixes: str) -> None:
         """Puts a new version of the operators' queues in force."""
         self.queues_version += 1
-        routes = [
-            {
-                'name': f'r-{prefix}',
-                'host': _HOST,
-                'prefix': prefix,
-                'target_latency_ms': 60,
-                'priority': 0,
-                'service': 'archive',
-                'max_attempts': 5,
-                'slack_factor': 1.6,
-            }
-            for prefix in prefixes
-        ]
-        body = {
-            'version': self.queues_version,
-            'routes': routes,
-            'services': [],
-        }
+        body = jobs.queues_body(self.queues_version, prefixes, _MAX_ATTEMPTS)
         self.rows.put('op', 'config', body)
 
     async def crash_worker(self, number: int) -> job_minion.JobMinion:
@@ -278,11 +233,11 @@
         self, numbers: collections.abc.Iterable[int]
     ) -> frozenset[str]:
         """Returns where the workers of some failure domains listen."""
-        domains = {number % len(_DOMAINS) for number in numbers}
+        domains = {jobs.domain_of(number) for number in numbers}
         return frozenset(
             worker.address
             for number, worker in enumerate(self.workers)
-            if number % len(_DOMAINS) in domains
+            if jobs.domain_of(number) in domains
         )
 
     def _others(self, number: int) -> list[int]:
@@ -297,10 +252,8 @@
         await store.start()
         self._stack.push_async_callback(store.stop)
         self.stores.append(store)
-        addresses = ports.free_addresses(4)
-        self.daemons.append(
-            Daemon(number, self._folder, store.address, addresses)
-        )
+        setup = jobs.DaemonSetup.write(self._folder, number, store.address)
+        self.daemons.append(Daemon(number, setup))
 
     async def _make_worker(self) -> job_minion.JobMinion:
         number = next(self._numbers)
--- a/tests/processes/job_case.py
+++ b/tests/processes/job_case.py
@@ -3,58 +3,36 @@
 import asyncio
 import pathlib
 import secrets
-import sys
 import tempfile
 import unittest
 
 import aiohttp
-import yaml
 
 from harness import deployment
-from harness import ports
+from harness import jobs
 from rosemaryroad import errors
 from tests.standins import job_minion
 from tests.standins import job_store
 
-HOST = 'jobs.example'
 PREFIX = '/lookups/'
-_DOMAINS = ('szeged', 'bekes', 'kecskemet')
 _DEADLINE_MS = 8_000
 _TIMEOUT_S = 60.0
 
 
 class JobDaemon:
-    """One daemon, its addresses and its settings file."""
+    """One daemon and its process."""
 
-    def __init__(self, name: str, folder: pathlib.Path, store: str) -> None:
-        self.name = name
+    def __init__(self, setup: jobs.DaemonSetup) -> None:
+        self.name = setup.name
+        self.callers = setup.callers
+        self.readiness = setup.readiness
+        self.operators = setup.operators
         self.process: deployment.Process | None = None
-        addresses = ports.free_addresses(4)
-        self.callers, self.readiness, self.operators, peers = addresses
-        self._settings = folder / f'{name}.yaml'
-        settings = {
-            'vm': name,
-            'failure_domain': _DOMAINS[int(name[-1]) % len(_DOMAINS)],
-            'region': 'alfold',
-            'listen': {
-                'callers': self.callers,
-                'readiness': self.readiness,
-                'operators': self.operators,
-                'peers': peers,
-            },
-            'platform': {'address': store},
-        }
-        self._settings.write_text(yaml.safe_dump(settings))
+        self._setup = setup
 
     async def start(self) -> None:
         """Starts the process, the first time or again."""
-        self.process = await deployment.Process.start(
-            self.name,
-            sys.executable,
-            '-m',
-            'rosemaryroad.jobdaemon',
-            str(self._settings),
-        )
+        self.process = await self._setup.start()
 
     async def stop(self) -> None:
         """Kills the process, if it still runs."""
@@ -93,7 +71,9 @@
             self.store.put('rosemaryroad', 'cells', {'count': self.CELLS})
         self.daemons = [
             JobDaemon(
-                f'entry-{number}', pathlib.Path(folder), self.store.address
+                jobs.DaemonSetup.write(
+                    pathlib.Path(folder), number, self.store.address
+                )
             )
             for number in range(self.DAEMONS)
         ]
@@ -116,20 +96,7 @@
 
     def put_queues(self, version: int, *prefixes: str) -> None:
         """Writes the operators' configuration."""
-        routes = [
-            {
-                'name': f'r-{prefix}',
-                'host': HOST,
-                'prefix': prefix,
-                'target_latency_ms': 60,
-                'priority': 0,
-                'service': 'archive',
-                'max_attempts': 3,
-                'slack_factor': 1.6,
-            }
-            for prefix in prefixes or (PREFIX,)
-        ]
-        body = {'version': version, 'routes': routes, 'services': []}
+        body = jobs.queues_body(version, prefixes or (PREFIX,), 3)
         self.store.put('op', 'config', body)
 
     async def wait_ready(self, daemon: JobDaemon) -> None:
@@ -170,23 +137,11 @@
             aiohttp.ClientError: There was no whole answer.
         """
         job_id = job_id or secrets.token_hex(8)
-        body = {
-            'spec': 'payload',
-            'best_effort': True,
-            'steps': [
-                {
-                    'count': tasks,
-                    'cpu': 27_000,
-                    'mem_mb': 64,
-                    'est_ms': int(self.WORK_MS),
-                }
-                | step
-            ],
-        }
+        body = jobs.job_body(tasks, int(self.WORK_MS), **step)
         async with self.session.post(
             f'http://{daemon.callers}{prefix}{job_id}',
             json=body,
-            headers={'Host': HOST, 'X-Deadline-Ms': str(deadline_ms)},
+            headers={'Host': jobs.HOST, 'X-Deadline-Ms': str(deadline_ms)},
         ) as reply:
             data = await reply.read()
             found = await reply.json() if data else {}
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -132,16 +132,6 @@
         self._let_lapse()
         return [run for run in self.runs if run.ended is None]
 
-    def overlaps(self) -> list[str]:
-        """Returns the tasks that have run twice at a time here."""
-        found = []
-        for index, one in enumerate(self.runs):
-            for other in self.runs[index + 1 :]:
-                end = one.ended or time.monotonic()
-                if one.task == other.task and other.began < end:
-                    found.append(one.task)
-        return found
-
     def _clock_ms(self) -> int:
         return int(time.monotonic() * MS_PER_SECOND * self.clock_rate) + 5_000
 
