Share what both daemons do when they start and end

The daemon for jobs had its own copy of rosemaryroadd's signals, exit codes, refusal of bad settings and name of its life. The parts of a cell's dispatching are made by the node, which has what they need, in place of being handed through.

--- /dev/null
+++ b/rosemaryroad/_daemons.py
@@ -0,0 +1,78 @@
+"""What all daemons do when they start and end."""
+
+import asyncio
+import logging
+import secrets
+import signal
+import sys
+import time
+import typing
+
+from rosemaryroad import errors
+from rosemaryroad import logs
+from rosemaryroad import model
+
+EXIT_OK = 0
+EXIT_CUT_OFF = 1
+EXIT_INVALID = 2
+EXIT_CANNOT_LISTEN = 3
+
+_LOG = logging.getLogger(__name__)
+_MS_PER_SECOND = 1000.0
+_NONCE_BYTES = 4
+
+
+class Node(typing.Protocol):
+    """One entry VM, put together.
+
+    Attributes:
+        drain_requested: Set once the VM is to leave.
+    """
+
+    drain_requested: asyncio.Event
+
+    async def start(self) -> None:
+        """Listens and begins all loops.
+
+        Raises:
+            OSError: An address can't be bound.
+        """
+
+    async def leave(self) -> bool:
+        """Ends in order; tells whether no caller was cut off."""
+
+
+def new_incarnation(vm: str) -> model.Incarnation:
+    """Names this life of an entry VM."""
+    return model.Incarnation(
+        vm,
+        int(time.time() * _MS_PER_SECOND),
+        secrets.token_hex(_NONCE_BYTES),
+    )
+
+
+def refuse_to_start(error: errors.CheckFailed) -> typing.NoReturn:
+    """Prints what is wrong with the settings and ends the process.
+
+    Raises:
+        SystemExit: Always.
+    """
+    for problem in error.problems:
+        print(problem, file=sys.stderr)
+    sys.exit(EXIT_INVALID)
+
+
+async def serve(node: Node) -> int:
+    """Serves until SIGTERM or SIGINT; returns the exit code."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A second signal finds the event set already and changes nothing:
+        # it must not hasten the end past requests in progress.
+        loop.add_signal_handler(number, node.drain_requested.set)
+    try:
+        await node.start()
+    except OSError as error:
+        logs.event(_LOG, logging.ERROR, 'cannot_listen', detail=str(error))
+        return EXIT_CANNOT_LISTEN
+    await node.drain_requested.wait()
+    return EXIT_OK if await node.leave() else EXIT_CUT_OFF
--- a/rosemaryroad/daemon.py
+++ b/rosemaryroad/daemon.py
@@ -1,15 +1,13 @@
 """The daemon ``rosemaryroadd``."""
 
-import asyncio
-import logging
 import pathlib
-import signal
 import sys
 import typing
 
 import typer
 import uvloop
 
+from rosemaryroad import _daemons
 from rosemaryroad import clock
 from rosemaryroad import decisions
 from rosemaryroad import errors
@@ -20,13 +18,6 @@
 
 __all__ = ['main', 'serve']
 
-EXIT_OK = 0
-EXIT_CUT_OFF = 1
-EXIT_INVALID = 2
-EXIT_CANNOT_LISTEN = 3
-
-_LOG = logging.getLogger(__name__)
-
 
 def run(
     settings_file: typing.Annotated[
@@ -63,11 +54,9 @@
         settings = settings_module.load(settings_file)
         secrets = tokens.read(settings.secrets)
     except errors.CheckFailed as error:
-        for problem in error.problems:
-            print(problem, file=sys.stderr)
-        sys.exit(EXIT_INVALID)
+        _daemons.refuse_to_start(error)
     if check:
-        sys.exit(EXIT_OK)
+        sys.exit(_daemons.EXIT_OK)
     logs.configure(settings.log.level.value, settings.vm)
     sys.exit(uvloop.run(_serve(settings, secrets, policy)))
 
@@ -78,18 +67,7 @@
     policy: decisions.Policy | None,
 ) -> int:
     node = node_module.Node(settings, secrets, clock.Clock(), policy)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # A second signal finds the event set already and changes nothing:
-        # it must not hasten the end past requests in progress.
-        loop.add_signal_handler(number, node.drain_requested.set)
-    try:
-        await node.start()
-    except OSError as error:
-        logs.event(_LOG, logging.ERROR, 'cannot_listen', detail=str(error))
-        return EXIT_CANNOT_LISTEN
-    await node.drain_requested.wait()
-    return EXIT_OK if await node.leave() else EXIT_CUT_OFF
+    return await _daemons.serve(node)
 
 
 def main() -> None:
--- a/rosemaryroad/jobdaemon.py
+++ b/rosemaryroad/jobdaemon.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from rosemaryroad import _daemons
 from rosemaryroad import clock
 from rosemaryroad import errors
 from rosemaryroad import jobserver
@@ -24,11 +25,6 @@
 
 SETTINGS_VARIABLE = 'ROSEMARYROAD_SETTINGS'
 
-EXIT_OK = 0
-EXIT_CUT_OFF = 1
-EXIT_INVALID = 2
-EXIT_CANNOT_LISTEN = 3
-
 _STDOUT = 1
 _LOG = logging.getLogger(__name__)
 
@@ -46,9 +42,7 @@
     try:
         settings = jobserver.load(path)
     except errors.CheckFailed as error:
-        for problem in error.problems:
-            print(problem, file=sys.stderr)
-        sys.exit(EXIT_INVALID)
+        _daemons.refuse_to_start(error)
     # What the imports made lives as long as the process.
     gc.freeze()
     gc.enable()
@@ -74,18 +68,8 @@
     )
     node = jobserver.JobNode(settings, adapter, time, sink)
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # A second signal finds the event set already and changes nothing:
-        # it must not hasten the end past jobs in progress.
-        loop.add_signal_handler(number, node.drain_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
-    try:
-        await node.start()
-    except OSError as error:
-        logs.event(_LOG, logging.ERROR, 'cannot_listen', detail=str(error))
-        return EXIT_CANNOT_LISTEN
-    await node.drain_requested.wait()
-    return EXIT_OK if await node.leave() else EXIT_CUT_OFF
+    return await _daemons.serve(node)
 
 
 def _reload(path: pathlib.Path) -> None:
--- a/rosemaryroad/jobserver/_cell_dispatching.py
+++ b/rosemaryroad/jobserver/_cell_dispatching.py
@@ -2,14 +2,9 @@
 
 import collections.abc
 
-from rosemaryroad import clock as clock_module
 from rosemaryroad import dispatching
-from rosemaryroad import endpoints
 from rosemaryroad import model
 from rosemaryroad.jobserver import _dispatching
-from rosemaryroad.jobserver import _metrics
-
-_Send = collections.abc.Callable[[str, model.JobMessage], bool]
 
 
 class CellDispatching:
@@ -19,26 +14,16 @@
         workers: All workers, or None before they are known.
 
     Args:
-        client: Speaks to workers.
-        limits: Figures of the deployment.
-        clock: The clock.
-        send: Sends a message to a VM, this one included.
-        metrics: What is counted.
+        make_part: Makes what dispatches a cell under a leadership.
     """
 
     def __init__(
         self,
-        client: endpoints.WorkerClient,
-        limits: dispatching.DispatchLimits,
-        clock: clock_module.Clock,
-        send: _Send,
-        metrics: _metrics.JobMetrics,
+        make_part: collections.abc.Callable[
+            [dispatching.Leadership], _dispatching.Dispatching
+        ],
     ) -> None:
-        self._client = client
-        self._limits = limits
-        self._clock = clock
-        self._send = send
-        self._metrics = metrics
+        self._make_part = make_part
         self._cells: dispatching.Cells | None = None
         self._parts: list[_dispatching.Dispatching] = []
         self.workers: tuple[model.Worker, ...] | None = None
@@ -55,17 +40,7 @@
     ) -> None:
         """Takes in the division into cells; it is known once."""
         self._cells = cells
-        self._parts = [
-            _dispatching.Dispatching(
-                leadership,
-                self._client,
-                self._limits,
-                self._clock,
-                self._send,
-                self._metrics,
-            )
-            for leadership in leaderships
-        ]
+        self._parts = [self._make_part(item) for item in leaderships]
         if self.workers is not None:
             self.list_workers(self.workers)
 
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -5,9 +5,8 @@
 import logging
 import os
 import random
-import secrets
-import time
 
+from rosemaryroad import _daemons
 from rosemaryroad import _loops
 from rosemaryroad import clock as clock_module
 from rosemaryroad import dispatching
@@ -17,6 +16,7 @@
 from rosemaryroad import peers
 from rosemaryroad import platform
 from rosemaryroad.jobserver import _cell_dispatching
+from rosemaryroad.jobserver import _dispatching
 from rosemaryroad.jobserver import _following
 from rosemaryroad.jobserver import _front
 from rosemaryroad.jobserver import _home
@@ -27,8 +27,6 @@
 from rosemaryroad.jobserver import _settings
 
 _LOG = logging.getLogger(__name__)
-_MS_PER_SECOND = 1000.0
-_NONCE_BYTES = 4
 
 # A link that carries nothing is found out by the signs of life; the
 # library's own pings only back them up.
@@ -86,11 +84,7 @@
         self._rng = random.Random(os.urandom(16))
         self._loops: list[asyncio.Task] = []
         self.drain_requested = asyncio.Event()
-        self.incarnation = model.Incarnation(
-            settings.vm,
-            int(time.time() * _MS_PER_SECOND),
-            secrets.token_hex(_NONCE_BYTES),
-        )
+        self.incarnation = _daemons.new_incarnation(settings.vm)
         self.metrics = _metrics.JobMetrics(settings.vm)
         self.queues = _queues.QueueBook()
         self._home = _home.JobHome(settings.vm, clock, self._send)
@@ -98,13 +92,7 @@
             self.queues, self._home, self.metrics, clock
         )
         self._dispatching = _cell_dispatching.CellDispatching(
-            adapter.workers,
-            dispatching.DispatchLimits(
-                settings.times.lease_ms, settings.times.remote_factor
-            ),
-            clock,
-            self._send,
-            self.metrics,
+            self._make_dispatching
         )
         handler = _members.JobLinkHandler()
         self._links = peers.PeerLinks(
@@ -277,6 +265,19 @@
             self.incarnation.started,
         )
 
+    def _make_dispatching(
+        self, leadership: dispatching.Leadership
+    ) -> _dispatching.Dispatching:
+        times = self._settings.times
+        return _dispatching.Dispatching(
+            leadership,
+            self._adapter.workers,
+            dispatching.DispatchLimits(times.lease_ms, times.remote_factor),
+            self._clock,
+            self._send,
+            self.metrics,
+        )
+
     def _send(self, vm: str, message: model.JobMessage) -> bool:
         return self._members.send(vm, message)
 
--- a/rosemaryroad/node.py
+++ b/rosemaryroad/node.py
@@ -6,9 +6,8 @@
 import os
 import pathlib
 import random
-import secrets
-import time
 
+from rosemaryroad import _daemons
 from rosemaryroad import _loops
 from rosemaryroad import api
 from rosemaryroad import clock as clock_module
@@ -35,8 +34,6 @@
 __all__ = ['Node']
 
 _LOG = logging.getLogger(__name__)
-_MS_PER_SECOND = 1000.0
-_NONCE_BYTES = 4
 
 _Serve = collections.abc.Callable[[str, int], collections.abc.Awaitable[int]]
 
@@ -64,11 +61,7 @@
         self.drain_requested = asyncio.Event()
         # Seeded by the system: two VMs with equal jitter would act in step.
         self._rng = random.Random(os.urandom(16))
-        self.incarnation = model.Incarnation(
-            settings.vm,
-            int(time.time() * _MS_PER_SECOND),
-            secrets.token_hex(_NONCE_BYTES),
-        )
+        self.incarnation = _daemons.new_incarnation(settings.vm)
         self.metrics = metrics_module.Metrics(settings.vm)
         self.burn = decisions.BurnBook()
         self.runtime = self._make_runtime(policy or decisions.Policy())
