--- a/rosemaryroad/decisions/_health.py
+++ b/rosemaryroad/decisions/_health.py
@@ -58,7 +58,7 @@
 
     def is_quarantined(self) -> bool:
         """Tells whether this VM keeps the endpoint out by itself."""
-        return self.probes.due_at is not None
+        return self.probes.is_on
 
     def is_hinted(self, now: float) -> bool:
         """Tells whether a peer's quarantine is being followed."""
--- a/rosemaryroad/decisions/_reach.py
+++ b/rosemaryroad/decisions/_reach.py
@@ -67,7 +67,7 @@
         Args:
             entry_vms: How many entry VMs there are now.
         """
-        return self.probes.due_at is None or entry_vms >= self.entry_vms
+        return not self.probes.is_on or entry_vms >= self.entry_vms
 
     def cut_off(self, entry_vms: int, now: float) -> None:
         """Keeps work away until a probe reaches an endpoint."""
--- a/rosemaryroad/dispatching/_load.py
+++ b/rosemaryroad/dispatching/_load.py
@@ -76,7 +76,7 @@
         return WorkerCondition.LEAVING
     if worker.silent_since is not None:
         return WorkerCondition.SILENT
-    if worker.taken_up_at is None:
+    if not worker.reported:
         return WorkerCondition.UNHEARD
     if worker.unanswered_at is not None:
         return WorkerCondition.IN_DOUBT
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -78,7 +78,7 @@
     return [
         worker
         for worker in workers
-        if worker.taken_up_at is not None
+        if worker.reported
         and not worker.full
         and worker.unanswered_at is None
         and not context.must_wait(worker, now)
--- a/rosemaryroad/jobserver/_settings.py
+++ b/rosemaryroad/jobserver/_settings.py
@@ -12,12 +12,6 @@
 _MS_PER_MINUTE = 60_000.0
 
 
-def _between(low: float, high: float) -> object:
-    return attrs.validators.and_(
-        attrs.validators.ge(low), attrs.validators.le(high)
-    )
-
-
 def _not_empty(_: object, field: attrs.Attribute, value: str) -> None:
     if not value:
         raise ValueError(f'{field.name}: empty')
@@ -51,7 +45,7 @@
 
     address: str = attrs.field(validator=_not_empty)
     timeout_ms: float = attrs.field(
-        default=1_000.0, validator=_between(1.0, _MS_PER_MINUTE)
+        default=1_000.0, validator=settings_module.between(1.0, _MS_PER_MINUTE)
     )
 
 
@@ -67,13 +61,15 @@
     """
 
     lease_ms: float = attrs.field(
-        default=1_000.0, validator=_between(100.0, _MS_PER_MINUTE)
+        default=1_000.0,
+        validator=settings_module.between(100.0, _MS_PER_MINUTE),
     )
     drain_ms: float = attrs.field(
-        default=5_000.0, validator=_between(1.0, 10 * _MS_PER_MINUTE)
+        default=5_000.0,
+        validator=settings_module.between(1.0, 10 * _MS_PER_MINUTE),
     )
     remote_factor: float = attrs.field(
-        default=3.0, validator=_between(1.0, 1_000.0)
+        default=3.0, validator=settings_module.between(1.0, 1_000.0)
     )
 
 
--- a/rosemaryroad/platform/_http.py
+++ b/rosemaryroad/platform/_http.py
@@ -128,7 +128,7 @@
             _RefusedReply,
             _BrokenReply,
         ) as error:
-            raise errors.PlatformUnavailable(_describe(error)) from error
+            raise errors.PlatformUnavailable(describe(error)) from error
 
     async def write(self, path: str, body: typing.Any) -> Reply:
         """Writes something with a POST, which is sent once.
@@ -150,9 +150,9 @@
             aiohttp.ConnectionTimeoutError,
             _RefusedReply,
         ) as error:
-            raise errors.PlatformUnavailable(_describe(error)) from error
+            raise errors.PlatformUnavailable(describe(error)) from error
         except (aiohttp.ClientError, TimeoutError, _BrokenReply) as error:
-            raise errors.WriteUnknown(_describe(error)) from error
+            raise errors.WriteUnknown(describe(error)) from error
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -186,5 +186,6 @@
         return self._session
 
 
-def _describe(error: Exception) -> str:
+def describe(error: BaseException) -> str:
+    """Says what a call failed by; some errors have no text."""
     return f'{type(error).__name__}: {error}'
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -10,6 +10,7 @@
 from rosemaryroad import clock as clock_module
 from rosemaryroad import endpoints
 from rosemaryroad import model
+from rosemaryroad.platform import _http
 from rosemaryroad.platform import _sockets
 
 _MS_PER_SECOND = 1000.0
@@ -84,7 +85,7 @@
         try:
             reply = await self._post(worker, '/api/hold', body, wait_ms)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise endpoints.WorkerUnreachable(_describe(error)) from error
+            raise endpoints.WorkerUnreachable(_http.describe(error)) from error
         if reply.status == _MISDIRECTED:
             raise endpoints.WorkerReplaced(worker.id)
         if reply.status == http.HTTPStatus.CONFLICT:
@@ -266,7 +267,3 @@
 
 def _is_number(value: object) -> bool:
     return type(value) in (int, float)
-
-
-def _describe(error: BaseException) -> str:
-    return f'{type(error).__name__}: {error}'
--- a/rosemaryroad/settings.py
+++ b/rosemaryroad/settings.py
@@ -58,22 +58,23 @@
         raise ValueError(f'{field.name}: not a file name')
 
 
-def _between(low: float, high: float) -> object:
+def between(low: float, high: float) -> object:
+    """Returns a validator of numbers from one to another."""
     return attrs.validators.and_(
         attrs.validators.ge(low), attrs.validators.le(high)
     )
 
 
 def _duration(default: float, low: float, high: float) -> float:
-    return attrs.field(default=default, validator=_between(low, high))
+    return attrs.field(default=default, validator=between(low, high))
 
 
 def _count(default: int) -> int:
-    return attrs.field(default=default, validator=_between(1, _MAX_COUNT))
+    return attrs.field(default=default, validator=between(1, _MAX_COUNT))
 
 
 def _size(default: int, most: int = _MAX_BYTES) -> int:
-    return attrs.field(default=default, validator=_between(1024, most))
+    return attrs.field(default=default, validator=between(1024, most))
 
 
 class PeersFrom(enum.StrEnum):
