Wait for no VM once most are back after a loss of all

Now the strongest that is back claims as soon as most are back and none has a dispatcher. VMs tell their processors in their rows, so that a weak one still waits for a stronger one that isn't back yet.

--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -8,6 +8,8 @@
 other out.
 """
 
+import collections.abc
+
 import attrs
 
 from rosemaryroad import model
@@ -122,6 +124,7 @@
         self._wait_until = now
         self._signs = _signs.Signs(SILENT_MS, self._silence_ms)
         self._known: frozenset[str] = frozenset()
+        self._most_cores = cores
         self._lost_at = now
         self._lost = ''
         self._lost_in_order = False
@@ -182,9 +185,12 @@
             self._elsewhere,
         )
 
-    def peers_known(self, vms: frozenset[str]) -> None:
-        """Takes in which other entry VMs there are."""
-        self._known = vms - {self._vm}
+    def peers_known(
+        self, cores_by_vm: collections.abc.Mapping[str, float]
+    ) -> None:
+        """Takes in which entry VMs there are, with their processors."""
+        self._known = frozenset(cores_by_vm) - {self._vm}
+        self._most_cores = max(cores_by_vm.values(), default=0.0)
 
     def inform(self, now: float) -> bool:
         """Takes in that the workers and the other VMs are known.
@@ -427,12 +433,27 @@
             return True
         if self._lost:
             return now - self._lost_at >= _AGREE_MS
+        if self._are_most_back(now):
+            return True
         if now - self._informed_at < _INFORMED_MS:
             return False
         if self._known and self._signs.fresh(now).keys() >= self._known:
             return True
         return now - self._started_at >= _START_MS
 
+    def _are_most_back(self, now: float) -> bool:
+        """Tells whether most VMs are here and none has a dispatcher.
+
+        After a loss of all, those that come back last would be waited for
+        otherwise, and whatever comes meanwhile is late.
+        """
+        fresh = self._signs.fresh(now)
+        if any(pulse.dispatcher for pulse in fresh.values()):
+            return False
+        heard = max((pulse.cores for pulse in fresh.values()), default=0.0)
+        is_strongest = self._cores >= max(heard, self._most_cores)
+        return is_strongest and self._are_most(fresh)
+
     def _others_without(
         self, now: float
     ) -> tuple[dict[str, model.Pulse], bool]:
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -360,11 +360,11 @@
         self._elections.append(election)
         for vm in self._links.linked():
             election.leadership.joined(vm, self._clock.now())
-        election.leadership.peers_known(self._vm_ids())
+        election.leadership.peers_known(self._cores_by_vm())
         election.rows_changed(self._rows)
 
-    def _vm_ids(self) -> frozenset[str]:
-        return frozenset(item.vm for item in self._vms)
+    def _cores_by_vm(self) -> dict[str, float]:
+        return {item.vm: item.cores for item in self._vms}
 
     def _set_vms(self, vms: tuple[model.EntryVm, ...]) -> None:
         self._vms = vms
@@ -373,7 +373,7 @@
         }
         self._links.set_peers(addresses)
         for election in self._elections:
-            election.leadership.peers_known(self._vm_ids())
+            election.leadership.peers_known(self._cores_by_vm())
         self.check_informed()
 
     def check_informed(self) -> None:
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -104,7 +104,9 @@
             limits=_LINK_LIMITS,
         )
         self._members = _members.Members(
-            model.EntryVm(settings.vm, settings.listen.peers),
+            model.EntryVm(
+                settings.vm, settings.listen.peers, self._strength
+            ),
             self._make_leadership,
             self._links,
             adapter.tables,
@@ -257,11 +259,15 @@
 
     # Parts of the above.
 
+    @property
+    def _strength(self) -> float:
+        return self._settings.cores * self._settings.speed
+
     def _make_leadership(self) -> dispatching.Leadership:
         return dispatching.Leadership(
             self._settings.vm,
             self._clock.now(),
-            self._settings.cores * self._settings.speed,
+            self._strength,
             self.incarnation.started,
         )
 
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -88,10 +88,12 @@
     Attributes:
         vm: Its id.
         address: Where it listens for peers, as ``IP:port``.
+        cores: Its share of a processor, or 0 where that isn't told.
     """
 
     vm: str
     address: str
+    cores: float = 0.0
 
 
 @attrs.frozen
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -15,6 +15,7 @@
 @attrs.define(eq=False)
 class _Vm:
     leadership: dispatching.Leadership
+    cores: float
     pulse_at: float
     tick_at: float
     role: dispatching.Role
@@ -27,6 +28,9 @@
 class PlayedGroup:
     """Entry VMs with links, on a clock of their own.
 
+    Attributes:
+        away: VMs that the platform's table names and that aren't there.
+
     Args:
         names: The VMs.
     """
@@ -36,6 +40,7 @@
         self.row = dispatching.LeaseRow(0, '')
         self.vm_by_name: dict[str, _Vm] = {}
         self.signs_sent = 0
+        self.away: set[str] = set()
         self.given_up_at: dict[tuple[str, str], float] = {}
         self._silent: set[frozenset[str]] = set()
         # Each end of a link by itself: behind a cut, one may have given it
@@ -63,11 +68,12 @@
             name, self.now, cores, int(self.now)
         )
         self.vm_by_name[name] = _Vm(
-            leadership, self.now, self.now, leadership.role
+            leadership, cores, self.now, self.now, leadership.role
         )
         if informed:
             self.inform(name)
-        known = frozenset(self.vm_by_name)
+        known = {vm: item.cores for vm, item in self.vm_by_name.items()}
+        known |= dict.fromkeys(self.away, 1.0)
         for other in self.vm_by_name:
             self.vm_by_name[other].leadership.peers_known(known)
             wanted = links is None or other in links
@@ -84,10 +90,12 @@
     def link(self, one: str, other: str) -> None:
         """Opens a link between two VMs."""
         self._silent.discard(frozenset((one, other)))
-        for name, peer in ((one, other), (other, one)):
+        ends = ((one, other), (other, one))
+        for name, peer in ends:
             self._linked.add((name, peer))
             leadership = self.vm_by_name[name].leadership
             leadership.joined(peer, self.now)
+        for name, peer in ends:
             self._pulse_to(peer, name)
 
     def unlink(self, one: str, other: str) -> None:
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -233,6 +233,51 @@
         self.assertLessEqual(took, 200)
         self.assertGreater(self.group.row.term, row.term)
 
+    def _start_anew(self, *names: str) -> None:
+        """Has all VMs lose power, and some come back."""
+        row = self.group.row
+        now = self.group.now
+        self.group = played_group.PlayedGroup()
+        self.group.row = row
+        self.group.now = now + 1_000
+        self.group.away = set(_SEVEN) - set(names)
+        for name in names:
+            self.group.add(name)
+
+    def test_most_vms_wait_for_no_other(self) -> None:
+        """All VMs lose power; the one that dispatched comes back last.
+
+        Most are there and know all they need. Each job that comes while
+        they wait for the others is refused or late.
+        """
+        others = [name for name in _SEVEN if name != self.first]
+        self._start_anew(*others[:4])
+        self.assertLessEqual(self.group.run_until_one(200), 100)
+
+    def test_fewer_vms_wait_for_the_others(self) -> None:
+        """Less than half of the VMs is back.
+
+        The others may be at work behind a cut, with a dispatcher that runs
+        the jobs of all; two would start them.
+        """
+        others = [name for name in _SEVEN if name != self.first]
+        self._start_anew(*others[:3])
+        self.group.run(600)
+        self.assertEqual({}, self.group.claims())
+
+    def test_a_weaker_vm_waits_for_a_stronger_one(self) -> None:
+        """Most VMs are back, but for the only strong one.
+
+        If a weak one dispatched, every job would wait for its processor.
+        """
+        self.group.add('strong', cores=2.0)
+        others = [name for name in _SEVEN if name != self.first]
+        self._start_anew()
+        for name in others[:5]:
+            self.group.add(name, cores=0.5)
+        self.group.run(150)
+        self.assertEqual({}, self.group.claims())
+
     def test_a_vm_that_knows_no_workers_does_not_act(self) -> None:
         """A VM is restarted behind a cut and can't read the platform's lists.
 
