Tell which jobs were lost, and why, from the logs of all VMs

"rosemaryroad losses" reads the logs that explain reads (the reader is a module of its own now), gives each job that was not answered in time one of sixteen causes, and groups them by cause, queue, size, failure domain and second; a page plots them over time. job_received tells the terms of its queue, from which the objective is worked out. A refusal before the first configuration names the job's id in place of a path.

--- a/rosemaryroad/cli/_app.py
+++ b/rosemaryroad/cli/_app.py
@@ -8,6 +8,7 @@
 import rosemaryroad
 from rosemaryroad.cli import _context
 from rosemaryroad.cli import _explain
+from rosemaryroad.cli import _losses
 from rosemaryroad.cli import _operations
 from rosemaryroad.cli import _services
 from rosemaryroad.cli import _submissions
@@ -72,6 +73,7 @@
     _operations.status,
     _operations.drain,
     _explain.explain,
+    _losses.losses,
 ):
     app.command()(_context.reporting(command))
 app.add_typer(_services.app, name='service')
--- a/rosemaryroad/cli/_explain.py
+++ b/rosemaryroad/cli/_explain.py
@@ -8,6 +8,7 @@
 import typer
 
 from rosemaryroad import explain as explain_module
+from rosemaryroad import logreader
 from rosemaryroad import structure
 from rosemaryroad.cli import _context
 from rosemaryroad.cli import _output
@@ -27,7 +28,7 @@
 ) -> None:
     """Tells what happened to a job, from the logs of all entry VMs."""
     shared = _context.shared(context)
-    reading = explain_module.read(_lines(files or []))
+    reading = logreader.read(log_lines(files or []))
     found = explain_module.explain(reading, job)
     rows = tuple(
         (
@@ -55,7 +56,10 @@
         raise typer.Exit(1)
 
 
-def _lines(files: list[pathlib.Path]) -> collections.abc.Iterator[str]:
+def log_lines(
+    files: list[pathlib.Path],
+) -> collections.abc.Iterator[str]:
+    """Reads files, or standard input where there are none."""
     names = [str(path) for path in files] or ['-']
     with fileinput.input(names, encoding='utf-8', errors='replace') as lines:
         yield from lines
--- a/rosemaryroad/explain.py
+++ b/rosemaryroad/explain.py
@@ -1,19 +1,10 @@
 """What happened to one job, from the log lines of all entry VMs."""
 
-import collections.abc
-import datetime
-import json
-import re
-
 import attrs
 
-__all__ = ['Entry', 'Explanation', 'LogLine', 'Reading', 'explain', 'read']
+from rosemaryroad import logreader
 
-_PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
-_HEAD = re.compile(
-    r'time=(\S+) level=([a-z]+) entry_vm=(\S+) event=([a-z_]+)(?=\s|$)'
-)
-_MS_PER_SECOND = 1000.0
+__all__ = ['Entry', 'Explanation', 'explain']
 
 # How long before a job's first line a change of belief may still bear on
 # it: a silent VM is found out after half a second, a lease lapses after one.
@@ -79,39 +70,6 @@
 )
 
 
-@attrs.frozen
-class LogLine:
-    """One line of a log.
-
-    Attributes:
-        time_ms: When it was written, by its VM's clock.
-        vm: The entry VM that wrote it.
-        event: The event.
-        fields: Its other pairs, by key.
-        number: Its place among all lines read.
-    """
-
-    time_ms: float
-    vm: str
-    event: str
-    fields: dict[str, str]
-    number: int
-
-
-@attrs.frozen
-class Reading:
-    """The lines that could be read.
-
-    Attributes:
-        lines: The lines.
-        skipped: How many others there were: damaged, cut, or of other
-            programs.
-    """
-
-    lines: tuple[LogLine, ...]
-    skipped: int
-
-
 @attrs.frozen
 class Entry:
     """One step of a job's story.
@@ -150,25 +108,7 @@
     outcome: str
 
 
-def read(texts: collections.abc.Iterable[str]) -> Reading:
-    """Reads log lines; what is none is skipped and counted."""
-    lines = []
-    skipped = 0
-    for text in texts:
-        if not text.strip():
-            continue
-        # Half a line of one process may stand before a line of another.
-        start = text.rfind('time=')
-        skipped += 'time=' in text[: max(0, start)]
-        found = _read_line(text[max(0, start) :], len(lines))
-        if found is None:
-            skipped += 1
-        else:
-            lines.append(found)
-    return Reading(tuple(lines), skipped)
-
-
-def explain(reading: Reading, job: str) -> Explanation:
+def explain(reading: logreader.Reading, job: str) -> Explanation:
     """Tells the story of one job.
 
     Args:
@@ -192,32 +132,7 @@
     )
 
 
-def _read_line(text: str, number: int) -> LogLine | None:
-    # A collector may put its own words before a line.
-    head = _HEAD.search(text)
-    if head is None:
-        return None
-    try:
-        moment = datetime.datetime.fromisoformat(head[1])
-    except ValueError:
-        return None
-    rest = text[head.end() :]
-    fields = {key: _plain(value) for key, value in _PAIR.findall(rest)}
-    return LogLine(
-        moment.timestamp() * _MS_PER_SECOND, head[3], head[4], fields, number
-    )
-
-
-def _plain(value: str) -> str:
-    if not value.startswith('"'):
-        return value
-    try:
-        return str(json.loads(value))
-    except ValueError:
-        return value
-
-
-def _offsets(own: list[LogLine]) -> dict[str, float]:
+def _offsets(own: list[logreader.LogLine]) -> dict[str, float]:
     """Returns what to add to each VM's clock, so that causes come first.
 
     A job is handed over before it is ordered, and settled before it is
@@ -243,20 +158,22 @@
     return offset_by_vm
 
 
-def _time(line: LogLine, offset_by_vm: dict[str, float]) -> float:
+def _time(line: logreader.LogLine, offset_by_vm: dict[str, float]) -> float:
     return line.time_ms + offset_by_vm.get(line.vm, 0.0)
 
 
 def _key(
-    line: LogLine, offset_by_vm: dict[str, float]
+    line: logreader.LogLine, offset_by_vm: dict[str, float]
 ) -> tuple[float, int, int]:
     rank = _RANK_BY_EVENT.get(line.event, 0)
     return _time(line, offset_by_vm), rank, line.number
 
 
 def _context(
-    reading: Reading, own: list[LogLine], offset_by_vm: dict[str, float]
-) -> list[LogLine]:
+    reading: logreader.Reading,
+    own: list[logreader.LogLine],
+    offset_by_vm: dict[str, float],
+) -> list[logreader.LogLine]:
     """Returns the changes of belief that bear on a job."""
     workers = {line.fields.get('worker') for line in own} - {None}
     vms = {line.vm for line in own}
@@ -279,7 +196,7 @@
 
 
 def _entry(
-    line: LogLine, first: float, offset_by_vm: dict[str, float]
+    line: logreader.LogLine, first: float, offset_by_vm: dict[str, float]
 ) -> Entry:
     detail = ' '.join(
         f'{key}={value}'
@@ -295,7 +212,7 @@
     )
 
 
-def _is_fault(line: LogLine) -> bool:
+def _is_fault(line: logreader.LogLine) -> bool:
     end = line.fields.get('end')
     if line.event == 'task_ended':
         return end != 'done'
@@ -308,7 +225,7 @@
     return line.event in _BAD_EVENTS
 
 
-def _outcome(own: list[LogLine]) -> str:
+def _outcome(own: list[logreader.LogLine]) -> str:
     last = own[-1]
     answered = [line for line in own if line.event == 'job_answered']
     if answered:
--- a/rosemaryroad/jobserver/_front.py
+++ b/rosemaryroad/jobserver/_front.py
@@ -76,6 +76,8 @@
             cores=job.needs.cores,
             estimate_ms=job.estimate_ms,
             left_ms=left_ms,
+            slack=job.terms.slack_factor,
+            target_ms=job.terms.target_ms,
             queues_version=self._queues.version,
         )
         answer = await self._home.submit(job, left_ms)
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -104,9 +104,7 @@
             limits=_LINK_LIMITS,
         )
         self._members = _members.Members(
-            model.EntryVm(
-                settings.vm, settings.listen.peers, self._strength
-            ),
+            model.EntryVm(settings.vm, settings.listen.peers, self._strength),
             self._make_leadership,
             self._links,
             adapter.tables,
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -165,7 +165,8 @@
             if not known and method == 'POST':
                 known = await front.wait_for_queues()
             if not known:
-                return self._refuse(path, 'no configuration')
+                job_id = path.rpartition('/')[2]
+                return self._refuse(job_id, 'no configuration')
             match = front.find_queue(request.host, request.path)
             if match is None:
                 return self._plain(http.HTTPStatus.NOT_FOUND)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -9,6 +9,7 @@
 
 from rosemaryroad import cli
 from rosemaryroad import explain
+from rosemaryroad import logreader
 
 _JOB = 'abcdef0123456789'
 
@@ -41,7 +42,7 @@
     """The story is in causal order and names the first fault."""
 
     def _explain(self, lines: list[str]) -> explain.Explanation:
-        return explain.explain(explain.read(lines), _JOB)
+        return explain.explain(logreader.read(lines), _JOB)
 
     def test_a_job_without_faults(self) -> None:
         found = self._explain(_whole()[::-1])
@@ -134,11 +135,11 @@
             whole[0].replace('2026-03-04', '2026-99-99'),
             '\x00\xff nonsense \n',
         ]
-        reading = explain.read(lines)
+        reading = logreader.read(lines)
         # The second half of the mixed line is whole.
         self.assertEqual(7, len(reading.lines))
         self.assertEqual(5, reading.skipped)
-        prefixed = explain.read([f'12.5 e1 {line}' for line in whole])
+        prefixed = logreader.read([f'12.5 e1 {line}' for line in whole])
         self.assertEqual(6, len(prefixed.lines))
 
     def test_the_command_reads_several_files(self) -> None:
