Let the last VM of a part dispatch while it leaves

A VM that leaves now goes on until another one that follows it can take over, and its daemon stays for as long as it dispatches, within the drain.

Tests: two VMs of a part that leave, one that comes back, and two that lose the third; the first failed before.

--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -176,7 +176,7 @@
             self.fence,
             self._dispatcher,
             self._claim,
-            self._leaving or self._ticked_at < self._aside_until,
+            self._gives_way(self._ticked_at),
             self._informed,
             self._cores,
             self._started,
@@ -333,7 +333,20 @@
     # Parts of the above.
 
     def _is_out(self, now: float) -> bool:
-        return self._leaving or now < self._aside_until
+        if now < self._aside_until:
+            return True
+        # Where all VMs of a part leave at once, a last one goes on for as
+        # long as it lives: their clients would be refused otherwise, with
+        # seconds to go. One that follows no dispatcher yet has just started
+        # and would not take over at once.
+        return self._leaving and any(
+            pulse.informed and pulse.dispatcher and not pulse.leaving
+            for pulse in self._signs.fresh(now).values()
+        )
+
+    def _gives_way(self, now: float) -> bool:
+        acts = self._claim is not model.Claim.NONE
+        return self._is_out(now) or (self._leaving and not acts)
 
     def _should_step_aside(self, now: float) -> bool:
         if self._claim is not model.Claim.DISPATCHER:
@@ -461,7 +474,7 @@
         staying = {
             vm: pulse
             for vm, pulse in self._signs.fresh(now).items()
-            if not pulse.leaving
+            if self._leaving or not pulse.leaving
         }
         without = dict(staying)
         if self._lost and not self._lost_in_order:
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -176,7 +176,7 @@
         while self._clock.now() < limit:
             self.front.is_closed = self._clock.now() >= refuse_at
             lingered = self._clock.now() - began >= _LINGER_MS
-            if lingered and not self._home.jobs_held:
+            if lingered and not self._is_needed:
                 break
             await self._clock.sleep(_DRAIN_POLL_MS)
         # From here on no job is taken in; one that came between this look
@@ -196,6 +196,11 @@
         )
         return answered
 
+    @property
+    def _is_needed(self) -> bool:
+        # A VM that leaves dispatches on where nobody can take over.
+        return bool(self._home.jobs_held) or self._dispatching.is_acting
+
     # What the members tell.
 
     def cells_known(
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -107,6 +107,66 @@
         self.assertLessEqual(took, 150)
         self.assertNotIn(self.first, self.group.claims())
 
+    def _leave(self, *names: str) -> None:
+        for name in names:
+            leadership = self.group.vm_by_name[name].leadership
+            leadership.leave(self.group.now)
+
+    def test_the_last_of_a_part_goes_on_while_it_leaves(self) -> None:
+        """A domain of two VMs is cut off, and both are to be restarted.
+
+        Nobody there can take over. If both stopped giving orders as soon as
+        they began to leave, their clients would be refused for seconds.
+        """
+        others = [vm for vm in _SEVEN if vm != self.first]
+        pair = others[:2]
+        self.group.run(2_000)
+        self.group.part(*pair)
+        self.group.run(1_500)
+        self._leave(*pair)
+        for _ in range(30):
+            self.group.run(100)
+            acting = [vm for vm in self.group.claims() if vm in pair]
+            self.assertEqual(1, len(acting))
+
+    def test_the_last_one_gives_way_to_a_vm_that_is_back(self) -> None:
+        others = [vm for vm in _SEVEN if vm != self.first]
+        one, other = others[:2]
+        self.group.run(2_000)
+        self.group.part(one, other)
+        self.group.run(1_500)
+        self._leave(one, other)
+        self.group.run(500)
+        [acting] = [vm for vm in self.group.claims() if vm in (one, other)]
+        back = other if acting == one else one
+        self.group.kill(back)
+        self.group.run(500)
+        self.assertIn(acting, self.group.claims())
+        self.group.add(back, links=(acting,))
+        self.group.run(2_000)
+        self.assertNotIn(acting, self.group.claims())
+        self.assertIn(back, self.group.claims())
+
+    def test_two_that_leave_and_lose_their_dispatcher(self) -> None:
+        """Two leaving VMs are left without the one that dispatched for them.
+
+        If both gave orders to the same workers, tasks would run twice.
+        """
+        others = [vm for vm in _SEVEN if vm != self.first]
+        three = others[:3]
+        self.group.run(2_000)
+        self.group.part(*three)
+        self.group.run(1_500)
+        self._leave(*three)
+        self.group.run(300)
+        [acting] = [vm for vm in self.group.claims() if vm in three]
+        self.group.kill(acting)
+        for _ in range(100):
+            self.group.run(10)
+            claims = [vm for vm in self.group.claims() if vm in three]
+            self.assertLessEqual(len(claims), 1)
+        self.assertEqual(1, len(claims))
+
     def test_a_leave_in_order_needs_no_majority(self) -> None:
         """Half of the VMs are away while the dispatcher is restarted.
 
