Notice the loss of a dispatcher in half the time

Signs of life went out every 120 ms and four had to be missing. Now they go every 60 ms between a dispatcher and the others, both ways, or a message about a job in their place; other pairs keep to 120 ms, in large groups less often than before. The two ends of such a link still judge alike. What was heard before the loss objects to no claim any more: behind a cut it was the last word for 0.4 s.

A VM that was stopped for 220 ms, not 400, gives no order until it has heard the others, since it may have been replaced within 300.

--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -16,11 +16,11 @@
 from rosemaryroad.dispatching import _signs
 from rosemaryroad.dispatching import _strain
 
-# Signs of life go out every PULSE_MS; four in a row have to be missing
-# before a peer counts as silent, since a VM that is slowed down five times
-# is late by some hundred milliseconds.
-PULSE_MS = 120.0
-SILENT_MS = 480.0
+# Between whoever dispatches and the others, signs of life go out every
+# PULSE_MS. Four in a row have to be missing before one counts as silent,
+# since a VM that is slowed down five times is late by some hundred ms.
+PULSE_MS = 60.0
+SILENT_MS = 240.0
 
 # How often the time is looked at; a change of dispatcher waits for it.
 TICK_MS = 30.0
@@ -30,11 +30,11 @@
 _TENURE_MS = 3_000.0
 _ASIDE_MS = 5_000.0
 
-# In larger groups the VMs that don't dispatch give each other signs less
-# often: these grow with the square of their number. Whoever dispatches goes
-# on hearing from all at the full rate.
-_VMS_AT_FULL_RATE = 12
-_VMS_A_STRIDE = 8
+# VMs that don't dispatch give each other signs so many times as seldom; in
+# larger groups more so, since these grow with the square of their number.
+_STRIDE = 2
+_VMS_AT_FIRST_STRIDE = 12
+_VMS_A_STRIDE = 5
 
 # After a loss, the others' next signs tell whether they still hear the
 # dispatcher; they send one at once when they lose it themselves.
@@ -55,9 +55,11 @@
 _DEPUTY_MS = 400.0
 
 # A process whose timers are late by this much was stopped meanwhile, and
-# may have been replaced.
-_PAUSE_MS = 400.0
-_WAKE_MS = 2 * PULSE_MS
+# may have been replaced; others need SILENT_MS and _AGREE_MS for that.
+_PAUSE_MS = 220.0
+
+# Within so long a VM that lives has given a sign, whatever it does.
+_HEARD_MS = 240.0
 
 # How long the platform's table may take to answer a claim; usually it is
 # some 5 ms. Without it the VM goes ahead under a term of its own.
@@ -271,9 +273,9 @@
     @property
     def stride(self) -> int:
         """How many times as seldom a VM that doesn't dispatch gives signs."""
-        if len(self._known) < _VMS_AT_FULL_RATE:
-            return 1
-        return 1 + len(self._known) // _VMS_A_STRIDE
+        if len(self._known) < _VMS_AT_FIRST_STRIDE:
+            return _STRIDE
+        return _STRIDE * (1 + len(self._known) // _VMS_A_STRIDE)
 
     def dispatching_peers(self, now: float) -> frozenset[str]:
         """Returns the peers that give orders; they need signs at full rate."""
@@ -287,8 +289,8 @@
         """Looks at the time; to be called every few ten milliseconds."""
         if now - self._ticked_at >= _PAUSE_MS:
             # What was heard before the pause says nothing of the present.
-            self._unsure_until = now + _WAKE_MS
-            self._signs.renew(now - SILENT_MS + _WAKE_MS)
+            self._unsure_until = now + _HEARD_MS
+            self._signs.renew(now - SILENT_MS + _HEARD_MS)
         late_ms = max(0.0, now - self._ticked_at - TICK_MS)
         self._strain.looked(late_ms, now)
         self._ticked_at = now
@@ -352,7 +354,7 @@
         if self._claim is not model.Claim.DISPATCHER:
             return False
         # Time for the others to tell whether they are strained as well.
-        told = self._strain.is_strained(now - 2 * PULSE_MS)
+        told = self._strain.is_strained(now - _HEARD_MS)
         if now - self._claimed_at < _TENURE_MS or not told:
             return False
         # Where no other VM is better off, the load itself is too high.
@@ -416,7 +418,7 @@
         if self._claim is model.Claim.NONE:
             # So far the others gave signs less often than a dispatcher
             # expects them; they hear of this one first.
-            self._signs.renew(now - SILENT_MS + _WAKE_MS)
+            self._signs.renew(now - SILENT_MS + _HEARD_MS)
         self._claim = claim
         self._claimed_at = now
 
@@ -470,20 +472,25 @@
     def _others_without(
         self, now: float
     ) -> tuple[dict[str, model.Pulse], bool]:
-        """Returns the peers in the same position, and whether all are."""
+        """Returns the peers in the same position, and whether none objects.
+
+        One objects that has told since that it hears the dispatcher.
+        """
         staying = {
             vm: pulse
             for vm, pulse in self._signs.fresh(now).items()
             if self._leaving or not pulse.leaving
         }
         without = dict(staying)
+        are_all = True
         if self._lost and not self._lost_in_order:
-            # A sign from before the loss says nothing about it; taken for
-            # an objection it would cost one interval, no more.
             for vm, pulse in staying.items():
                 if pulse.dispatcher == self._lost:
                     del without[vm]
-        return without, len(without) == len(staying)
+                    # A sign from before the loss objects to nothing; of a
+                    # VM behind the same cut it is the last one for long.
+                    are_all &= not self._signs.is_newer(vm, self._lost_at)
+        return without, are_all
 
     def _should_claim(self, now: float) -> bool:
         without, are_all = self._others_without(now)
--- a/rosemaryroad/dispatching/_signs.py
+++ b/rosemaryroad/dispatching/_signs.py
@@ -15,6 +15,7 @@
 
     heard_at: float
     pulse: model.Pulse | None = None
+    pulse_at: float = 0.0
 
 
 class Signs:
@@ -41,7 +42,11 @@
 
     def heard(self, vm: str, pulse: model.Pulse, now: float) -> None:
         """Takes in a sign of life."""
-        self._peer_by_vm[vm] = _Peer(now, pulse)
+        self._peer_by_vm[vm] = _Peer(now, pulse, now)
+
+    def is_newer(self, vm: str, at: float) -> bool:
+        """Tells whether what a peer has told last came after a time."""
+        return self._peer_by_vm[vm].pulse_at > at
 
     def heard_from(self, vm: str, now: float) -> None:
         """Takes in any other message of a peer."""
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -247,7 +247,7 @@
         self._propose_cells(now)
         if now - self._pulse_at >= self._pulse_every_ms():
             self._pulse()
-        elif self.stride > 1:
+        else:
             self._pulse_to_dispatchers(now)
 
     def _pulse_every_ms(self) -> float:
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -57,7 +57,7 @@
 # A VM that doesn't dispatch only keeps a list to begin with, should the
 # store be away when it takes over.
 _WORKERS_REST_MS = 400.0
-_WORKERS_IDLE_REST_MS = 4_000.0
+_WORKERS_IDLE_REST_MS = 2_000.0
 
 
 class JobNode(_members.MembersHandler):
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -193,7 +193,7 @@
         stride = 1 if acts else leadership.stride
         if self.now - vm.pulse_at >= dispatching.PULSE_MS * stride:
             self._pulse(name)
-        elif stride > 1:
+        else:
             self._pulse_to_dispatchers(name)
 
     def _claim(self, name: str) -> None:
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -100,6 +100,42 @@
         self.assertEqual(1, len(followed))
         self.assertNotIn(followed.pop(), ('', self.first))
 
+    def _followed(self, vms: list[str]) -> set[str]:
+        return {
+            self.group.vm_by_name[vm].leadership.role.dispatcher for vm in vms
+        }
+
+    def test_a_cut_leaves_both_sides_with_a_dispatcher_soon(self) -> None:
+        """A failure domain is cut off, with or without the dispatcher.
+
+        The last that each side heard of the other is that the dispatcher is
+        well. Waited for until they count as silent as well, such words would
+        cost both sides another quarter of a second of late jobs.
+        """
+        others = [vm for vm in _SEVEN if vm != self.first]
+        for domain in ([self.first, others[0]], others[:2]):
+            with self.subTest(domain=domain):
+                self.setUp()
+                self.group.run(2_000)
+                outside = [vm for vm in _SEVEN if vm not in domain]
+                self.group.part(*domain)
+                self.group.run(480)
+                for side in (domain, outside):
+                    [found] = self._followed(side)
+                    self.assertIn(found, side)
+
+    def test_a_silent_dispatcher_is_succeeded_in_half_a_second(self) -> None:
+        """The dispatcher's VM is gone, and no reset tells the others.
+
+        Each job that comes until they notice is late, if not lost.
+        """
+        self.group.run(2_000)
+        others = [vm for vm in _SEVEN if vm != self.first]
+        self.group.vm_by_name[self.first].frozen = True
+        self.group.run(450)
+        [found] = self._followed(others)
+        self.assertIn(found, others)
+
     def test_a_leaving_dispatcher_is_succeeded_at_once(self) -> None:
         """The dispatcher gets SIGTERM and is still heard by everybody."""
         self.group.vm_by_name[self.first].leadership.leave(self.group.now)
