Leave the dispatcher alone that others follow

Cause: a VM that has lost its dispatcher took peers that follow another one for peers without any. Peers that follow any dispatcher object now. The link to a dispatcher that others hear is dialed at once; the pause before the next attempt has grown to half a second by the end of a cut.

The test failed before: two dispatchers.

--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -474,22 +474,27 @@
     ) -> tuple[dict[str, model.Pulse], bool]:
         """Returns the peers in the same position, and whether none objects.
 
-        One objects that has told since that it hears the dispatcher.
+        One objects that has told since that it hears a dispatcher, the lost
+        one or another. After a cut has healed, links come back one by one; a
+        VM that claimed before the one to the dispatcher stands would take
+        all jobs away from it, and each would change hands twice.
         """
         staying = {
             vm: pulse
             for vm, pulse in self._signs.fresh(now).items()
             if self._leaving or not pulse.leaving
         }
-        without = dict(staying)
-        are_all = True
-        if self._lost and not self._lost_in_order:
-            for vm, pulse in staying.items():
-                if pulse.dispatcher == self._lost:
-                    del without[vm]
-                    # A sign from before the loss objects to nothing; of a
-                    # VM behind the same cut it is the last one for long.
-                    are_all &= not self._signs.is_newer(vm, self._lost_at)
+        without = {
+            vm: pulse
+            for vm, pulse in staying.items()
+            if pulse.dispatcher in ('', self._vm)
+        }
+        # A sign from before the loss objects to nothing; of a VM behind the
+        # same cut it is the last one for long.
+        are_all = self._lost_in_order or not any(
+            self._signs.is_newer(vm, self._lost_at)
+            for vm in staying.keys() - without.keys()
+        )
         return without, are_all
 
     def _should_claim(self, now: float) -> bool:
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -315,6 +315,7 @@
             self._elections, message.by_cell, strict=False
         ):
             election.leadership.heard(vm, pulse, now)
+            self._links.hurry(pulse.dispatcher)
         self._share_queues(vm, message)
         self._share_directory(vm, message)
         self._check_roles()
--- a/rosemaryroad/peers/_links.py
+++ b/rosemaryroad/peers/_links.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import logging
 import random
 
@@ -66,6 +67,7 @@
         self._server: server.Server | None = None
         self._address_by_vm: dict[str, model.Address] = {}
         self._dialer_by_vm: dict[str, asyncio.Task] = {}
+        self._hurry_by_vm: dict[str, asyncio.Event] = {}
 
     async def serve(self, host: str, port: int) -> int:
         """Accepts links from peers.
@@ -110,6 +112,7 @@
         loop = asyncio.get_running_loop()
         for vm in self._address_by_vm:
             if vm not in self._dialer_by_vm:
+                self._hurry_by_vm[vm] = asyncio.Event()
                 self._dialer_by_vm[vm] = loop.create_task(self._keep(vm))
 
     async def forward(
@@ -189,6 +192,16 @@
         """
         self._table.drop(vm)
 
+    def hurry(self, vm: str) -> None:
+        """Has a peer dialed soon, though it could not be reached before.
+
+        After a cut has healed, others that are linked to it already tell so;
+        the pauses between attempts have grown long by then.
+        """
+        hurry = self._hurry_by_vm.get(vm)
+        if hurry is not None:
+            hurry.set()
+
     def incarnation_of(self, vm: str) -> model.Incarnation | None:
         """Returns the incarnation at the other end, None without a link."""
         return self._table.incarnation_of(vm)
@@ -259,14 +272,24 @@
                     failures=failures,
                     detail=f'{type(error).__name__}: {error}',
                 )
-            await asyncio.sleep(self._backoff_s(failures))
+            await self._pause(vm, self._backoff_s(failures))
         self._dialer_by_vm.pop(vm, None)
+        self._hurry_by_vm.pop(vm, None)
+
+    async def _pause(self, vm: str, pause_s: float) -> None:
+        least_s = min(pause_s, self._limits.backoff_ms / _MS_PER_SECOND)
+        await asyncio.sleep(least_s)
+        hurry = self._hurry_by_vm[vm]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s - least_s):
+                await hurry.wait()
+        hurry.clear()
 
     async def _may_dial(self, vm: str) -> bool:
         await self._table.wait_unlinked(vm)
         if self._incarnation.vm < vm:
             return True
-        await asyncio.sleep(self._limits.grace_ms / _MS_PER_SECOND)
+        await self._pause(vm, self._limits.grace_ms / _MS_PER_SECOND)
         return not self._table.is_linked(vm)
 
     async def _dial(self, vm: str) -> None:
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -124,6 +124,35 @@
                     [found] = self._followed(side)
                     self.assertIn(found, side)
 
+    def test_links_that_come_back_one_by_one_change_nothing(self) -> None:
+        """A domain of two VMs is reachable again after a cut.
+
+        Its VMs have links to the others before they have one to the
+        dispatcher, and hear them follow it. If one claimed, all jobs would
+        go over to it while they run.
+        """
+        others = [vm for vm in _SEVEN if vm != self.first]
+        pair, outside = others[:2], others[2:]
+        self.group.run(2_000)
+        self.group.part(*pair)
+        self.group.run(1_500)
+        acting = next(vm for vm in self.group.claims() if vm in pair)
+        self.group.kill(acting)
+        self.group.run(30)
+        for vm in outside:
+            self.group.link(pair[acting == pair[0]], vm)
+            self.group.run(60)
+        self.group.run(400)
+        self.assertIs(
+            model.Claim.DISPATCHER, self.group.claims().get(self.first)
+        )
+        dispatchers = [
+            vm
+            for vm, claim in self.group.claims().items()
+            if claim is model.Claim.DISPATCHER
+        ]
+        self.assertEqual([self.first], dispatchers)
+
     def test_a_silent_dispatcher_is_succeeded_in_half_a_second(self) -> None:
         """The dispatcher's VM is gone, and no reset tells the others.
 
--- a/tests/test_peers_links.py
+++ b/tests/test_peers_links.py
@@ -195,6 +195,21 @@
         await self.joined(on_a)
         await self.assert_answers(a, 'z')
 
+    async def test_a_peer_that_others_hear_is_dialed_at_once(self) -> None:
+        """A cut has healed, and the next attempt is an hour away.
+
+        Peers that are linked already tell that they hear the VM. Until it is
+        dialed, this one's callers are served without it.
+        """
+        _, on_a, at_a = await self.make('a')
+        limits = peers.LinkLimits(grace_ms=3_600_000.0, backoff_ms=1.0)
+        z, _, _ = await self.make('z', limits=limits)
+        z.set_peers({'a': at_a})
+        await peer_case.turns()
+        self.assertEqual([], on_a.joined)
+        z.hurry('a')
+        await self.joined(on_a)
+
     async def test_address_of_another_vm_is_refused(self) -> None:
         """An address went to another VM, and the list still has the old.
 
