Start a few late jobs beside those that are in time

Cause: what comes in the quarter of a second without a dispatcher misses its objective. While all workers could run the waiting late jobs within 100 ms, these are ordered by the end of their use among the others' objectives.

--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -246,7 +246,11 @@
         context.expecting = [
             state for state in context.expecting if state.unseen
         ]
-        context.waiting.refresh(now)
+        cores = sum(
+            worker.worker.capacity.cores
+            for worker in context.workers_by_id.values()
+        )
+        context.waiting.refresh(now, cores)
         _queue.refuse_hopeless(context, now)
         self._drop_unlisted()
         _queue.fill(context, now)
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -25,6 +25,14 @@
     STOPPED = 'stopped'
 
 
+class Lateness(enum.Enum):
+    """What an answer is worth to its caller, if the job starts now."""
+
+    IN_TIME = 'in_time'
+    LATE = 'late'
+    TOO_LATE = 'too_late'
+
+
 @attrs.define(eq=False)
 class Order:
     """One attempt of a task at one worker; it takes room there.
@@ -111,6 +119,9 @@
         blamed: Workers that were blamed for its failures.
         rank: Its place among the waiting jobs, the lowest first.
         expected_ms: What a task of it is likely to take.
+        due: Until when an answer is inside its objective.
+        of_use_until: Until when an answer is of some use.
+        lateness: What its answer is worth, if it starts now.
         is_queued: Whether it is among the waiting jobs.
         is_over: Whether it has been settled or taken away.
         waiting: How many tasks wait.
@@ -129,6 +140,9 @@
     blamed: set[str] = attrs.field(factory=set)
     rank: tuple[int, float] = (0, 0.0)
     expected_ms: float = 0.0
+    due: float = 0.0
+    of_use_until: float = 0.0
+    lateness: Lateness = Lateness.IN_TIME
     is_queued: bool = False
     is_over: bool = False
     waiting: int = 0
--- a/rosemaryroad/dispatching/_waiting.py
+++ b/rosemaryroad/dispatching/_waiting.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections.abc
+import enum
 import operator
 
 from rosemaryroad.dispatching import _run_times
@@ -11,12 +12,20 @@
 
 # An answer is of some use to its caller up to so many times its objective,
 # as the users' sheets weigh it.
-_OF_USE = 3.0
+_OF_USE_FACTOR = 3.0
 
-# Where a job stands by its lateness; one that hasn't begun comes one later.
-_IN_TIME = 0
-_LATE = 1
-_TOO_LATE = 3
+# Late jobs are few while all workers together could run them within this.
+_FEW_LATE_MS = 100.0
+
+
+class _Class(enum.IntEnum):
+    """Which jobs come first; one that has begun comes before its equals."""
+
+    FIRST = 0
+    LATE_BEGUN = 1
+    LATE = 2
+    TOO_LATE_BEGUN = 3
+    TOO_LATE = 4
 
 
 class WaitingJobs:
@@ -34,6 +43,7 @@
     def __init__(self, run_times: _run_times.RunTimes) -> None:
         self._run_times = run_times
         self._jobs: list[_state.JobState] = []
+        self._are_few_late = True
 
     def __iter__(self) -> collections.abc.Iterator[_state.JobState]:
         """Goes through the jobs in order; some may wait no longer."""
@@ -44,41 +54,67 @@
         if state.is_queued:
             return
         state.is_queued = True
-        self._rank(state, now)
+        self._judge(state, now)
+        self._rank(state)
         bisect.insort(self._jobs, state, key=_RANK)
 
-    def refresh(self, now: float) -> None:
-        """Ranks all jobs anew and drops those that wait no longer."""
+    def refresh(self, now: float, cores: float) -> None:
+        """Ranks all jobs anew and drops those that wait no longer.
+
+        Args:
+            now: The present time.
+            cores: What all workers have together.
+        """
         kept = []
+        late_work = 0.0
         for state in self._jobs:
-            if state.waiting and not state.is_over:
-                self._rank(state, now)
-                kept.append(state)
-            else:
+            if not state.waiting or state.is_over:
                 state.is_queued = False
+                continue
+            self._judge(state, now)
+            if state.lateness is _state.Lateness.LATE:
+                late_work += (
+                    state.waiting * state.expected_ms * (state.job.needs.cores)
+                )
+            kept.append(state)
+        self._are_few_late = late_work <= _FEW_LATE_MS * cores
+        for state in kept:
+            self._rank(state)
         kept.sort(key=_RANK)
         self._jobs = kept
 
-    def _rank(self, state: _state.JobState, now: float) -> None:
-        # Jobs that have missed their objective come last: served first,
-        # they would make others miss theirs one after another. In a
-        # discrete-event trial at 1.5 times the usual load this order was
-        # worth 0.77, first come first served 0.51. Among them those that
-        # have begun come first, and the shortest: what was done for them
-        # is lost if the rest never runs (0.886 in place of 0.878 of the
-        # worth in a burst of twice the load). Those that are too late to
-        # be of use come after them (0.895 in place of 0.887 at 1.5 times
-        # the load, six seeds).
+    def _judge(self, state: _state.JobState, now: float) -> None:
         job = state.job
         expected = self._run_times.expected_ms(job.queue, job.estimate_ms)
+        objective = job.terms.slack_factor * expected + job.terms.target_ms
         state.expected_ms = expected
-        terms = job.terms
-        objective = terms.slack_factor * expected + terms.target_ms
-        due = state.arrived + objective
-        if now + expected <= due:
-            state.rank = (_IN_TIME, due)
+        state.due = state.arrived + objective
+        state.of_use_until = state.arrived + _OF_USE_FACTOR * objective
+        if now + expected <= state.due:
+            state.lateness = _state.Lateness.IN_TIME
+        elif now + expected <= state.of_use_until:
+            state.lateness = _state.Lateness.LATE
+        else:
+            state.lateness = _state.Lateness.TOO_LATE
+
+    def _rank(self, state: _state.JobState) -> None:
+        # Jobs that have missed their objective come last where many have:
+        # served first, they would make others miss theirs one after another.
+        # Where a short loss of the dispatcher has made a few late, they
+        # would get no answer of use behind all that goes on coming, while
+        # those in time can spare the moment.
+        lateness = state.lateness
+        if lateness is _state.Lateness.IN_TIME:
+            state.rank = (_Class.FIRST, state.due)
+            return
+        if lateness is _state.Lateness.LATE and self._are_few_late:
+            state.rank = (_Class.FIRST, state.of_use_until)
             return
-        is_of_use = now + expected <= state.arrived + _OF_USE * objective
-        lateness = _LATE if is_of_use else _TOO_LATE
-        begun = 0 if state.started else 1
-        state.rank = (lateness + begun, state.left * expected)
+        # Among late ones those that have begun come first, and the shortest:
+        # what was done for them is lost if the rest never runs.
+        if lateness is _state.Lateness.LATE:
+            begun, not_begun = _Class.LATE_BEGUN, _Class.LATE
+        else:
+            begun, not_begun = _Class.TOO_LATE_BEGUN, _Class.TOO_LATE
+        rank = begun if state.started else not_begun
+        state.rank = (rank, state.left * state.expected_ms)
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -84,6 +84,7 @@
         earned: Worth that was earned.
         jobs: How many jobs came.
         served: How many were answered whole, late ones included.
+        of_use: How many were answered within three times their objective.
         refused: How many were refused as not run.
         refused_late: Of these, after a quarter of their objective.
         held: Worth of those never started and held for half their time.
@@ -93,6 +94,7 @@
     earned: float = 0.0
     jobs: int = 0
     served: int = 0
+    of_use: int = 0
     refused: int = 0
     refused_late: int = 0
     held: float = 0.0
@@ -113,6 +115,8 @@
         load_at: Gives the load at a second, in place of ``load``.
         kinds: The kinds of request, as they come to 24 workers.
         workers: How many workers there are.
+        away: From when to when nobody dispatches, in seconds; what comes
+            meanwhile is handed over at its end.
     """
 
     def __init__(
@@ -123,12 +127,14 @@
         load_at=None,
         kinds: tuple[Kind, ...] = KINDS,
         workers: int = 24,
+        away: tuple[float, float] | None = None,
     ) -> None:
         self._rng = random.Random(seed)
         self._load_at = load_at or (lambda _: load)
         self._seconds = seconds
         self._kinds = kinds
         self._workers = workers
+        self._away = away
         self._events: list = []
         self._numbers = itertools.count()
         self.now = 0.0
@@ -192,7 +198,19 @@
         )
         objective = 1.6 * max(runs) + 60.0
         self.jobs[job.id] = _Job(kind, job, self.now, objective, worth, runs)
-        message = model.JobSubmitted(job, 0.0, kind.deadline_ms)
+        self._at(self._handed_at(), self._hand, self.jobs[job.id])
+
+    def _handed_at(self) -> float:
+        if self._away is None:
+            return self.now
+        since, until = (1000.0 * second for second in self._away)
+        return until if since <= self.now < until else self.now
+
+    def _hand(self, job: _Job) -> None:
+        age_ms = self.now - job.arrived
+        message = model.JobSubmitted(
+            job.job, age_ms, job.kind.deadline_ms - age_ms
+        )
         self._do(self.dispatcher.submit(case.HOME, message, self.now))
 
     def _tick(self) -> None:
@@ -273,6 +291,7 @@
             if job.end is not model.JobEnd.COMPLETED:
                 continue
             tally.served += took <= job.kind.deadline_ms
+            tally.of_use += took <= _LATE_FACTOR * job.objective_ms
             if took <= job.objective_ms:
                 tally.earned += job.worth
             elif took <= _LATE_FACTOR * job.objective_ms:
--- a/tests/dispatching/test_load.py
+++ b/tests/dispatching/test_load.py
@@ -33,6 +33,26 @@
                 self.assertGreater(tally.share, 0.8)
                 self.assertGreater(tally.served, 0.95 * tally.jobs)
 
+    def test_a_short_loss_of_the_dispatcher_costs_few_answers(self) -> None:
+        """Nobody dispatches for 0.4 s, at a fifth more than the usual load.
+
+        What came meanwhile is late already. Behind all that goes on coming
+        in time, many get no answer of use: 46 of these loads' 7,188 jobs
+        got none, 23 get none now.
+        """
+        jobs = of_use = 0
+        for seed in range(8):
+            played = played_load.PlayedLoad(
+                seed,
+                seconds=12.0,
+                load_at=lambda s: 1.2 if 2 < s < 6 else 1.0,
+                away=(4.0, 4.4),
+            )
+            whole = played_load.total(played.play())
+            jobs += whole.jobs
+            of_use += whole.of_use
+        self.assertGreater(of_use, 0.9955 * jobs)
+
     def test_refusals_come_in_time_to_go_elsewhere(self) -> None:
         """Twice the usual load comes, far over what the workers can do.
 
