Play homes, dispatchers and workers together, parted in every way

A table of seventeen faults (cuts of a domain, a VM, the store, one way, lost answers, stops and kills), three lengths, two moments and two sizes, with a second cut and with clients that come again on the other side: no task may run twice at a time. All decisions are the daemon's own; links, calls, workers and their leases are played on one clock.

--- /dev/null
+++ b/tests/dispatching/played_service.py
@@ -0,0 +1,607 @@
+"""Plays a whole service: homes, dispatchers, workers and what parts them.
+
+Everything that decides is the daemon's own: who dispatches, the homes and the
+dispatchers of jobs. Links, calls and workers are played on one clock, so that
+a fault can be put between any two of them at any moment.
+"""
+
+import asyncio
+import collections
+import heapq
+import itertools
+
+import attrs
+
+from rosemaryroad import clock as clock_module
+from rosemaryroad import dispatching
+from rosemaryroad import jobserver
+from rosemaryroad import model
+from tests.dispatching import case
+
+STORE = 'store'
+_HOP_MS = 1.0
+_STEP_MS = 10.0
+_ANSWER_MS = 120.0
+_HOLD_WAIT_MS = 100.0
+_RELINK_MS = 100.0
+_LEASE_MS = 1_000.0
+_LONG_MS = 3_600_000.0
+_LIMITS = dispatching.DispatchLimits(lease_ms=_LEASE_MS)
+
+
+@attrs.frozen
+class Doubled:
+    """A task that ran twice at the same time.
+
+    Attributes:
+        at: When the second run began.
+        task: The task.
+        first: The worker of the first run, and who had started it.
+        second: The same of the second run.
+    """
+
+    at: float
+    task: model.TaskId
+    first: tuple[str, str]
+    second: tuple[str, str]
+
+
+@attrs.define(eq=False)
+class _Run:
+    starter: str
+    since: float
+    until: float
+
+
+class _Worker:
+    """Runs what it is told under a lease, and lists how it ended."""
+
+    def __init__(self, worker: model.Worker, run_ms: float) -> None:
+        self.listed = worker
+        self.runs: dict[tuple[model.TaskId, int], _Run] = {}
+        self._run_ms = run_ms
+        self._highest: dict[model.TaskId, int] = {}
+        self._ended: list[model.EndedTask] = []
+        self._numbers = itertools.count(1)
+        self._lease_end = 0.0
+        self._fence = 0
+
+    def settle(self, now: float) -> None:
+        """Ends what has run its time, or whose lease has lapsed."""
+        for key, run in list(self.runs.items()):
+            if run.until <= min(now, self._lease_end):
+                self._end(key, model.TaskEnd.DONE)
+            elif self._lease_end <= now:
+                self._end(key, model.TaskEnd.LAPSED)
+
+    def start(
+        self,
+        order: dispatching.StartTask,
+        starter: str,
+        fence: int,
+        now: float,
+    ) -> model.OrderResult:
+        """Carries out an order to start."""
+        key = (order.task, order.attempt)
+        if fence < self._fence:
+            return model.OrderResult.FENCED
+        self._fence = fence
+        if order.attempt <= self._highest.get(order.task, 0):
+            return model.OrderResult.STALE_ATTEMPT
+        self._highest[order.task] = order.attempt
+        self._lease_end = max(self._lease_end, now + _LEASE_MS)
+        self.runs[key] = _Run(starter, now, now + self._run_ms)
+        return model.OrderResult.DONE
+
+    def stop(self, order: dispatching.StopTask, fence: int) -> None:
+        """Carries out an order to stop."""
+        if fence < self._fence:
+            return
+        known = self._highest.get(order.task, 0)
+        self._highest[order.task] = max(known, order.attempt)
+        key = (order.task, order.attempt)
+        if key in self.runs:
+            self._end(key, model.TaskEnd.STOPPED)
+
+    def hold(
+        self, fence: int, acknowledged: int, prolong: bool, now: float
+    ) -> model.WorkerReport | None:
+        """Tells what runs; None where the fence is too low."""
+        if fence < self._fence:
+            return None
+        self._fence = fence
+        if prolong:
+            self._lease_end = max(self._lease_end, now + _LEASE_MS)
+        self._ended = [row for row in self._ended if row.number > acknowledged]
+        running = tuple(
+            model.RunningTask(
+                *key, min(99.0, 100.0 * (now - run.since) / self._run_ms)
+            )
+            for key, run in self.runs.items()
+        )
+        return model.WorkerReport(now, now, running, tuple(self._ended))
+
+    def _end(self, key: tuple[model.TaskId, int], how: model.TaskEnd) -> None:
+        del self.runs[key]
+        self._ended.append(model.EndedTask(next(self._numbers), *key, how))
+
+
+@attrs.define(eq=False)
+class _Held:
+    """What a dispatcher's VM knows of one worker's calls."""
+
+    acknowledged: int = 0
+    failures: int = 0
+    next_at: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Vm:
+    name: str
+    domain: str
+    leadership: dispatching.Leadership
+    home: jobserver.JobHome
+    tick_at: float
+    role: dispatching.Role
+    dispatcher: dispatching.JobDispatcher | None = None
+    pulse_at: float = 0.0
+    frozen_until: float = 0.0
+    linked: set[str] = attrs.field(factory=set)
+    told_at_by_vm: dict[str, float] = attrs.field(factory=dict)
+    held_by_worker: dict[str, _Held] = attrs.field(factory=dict)
+    waiting: list = attrs.field(factory=list)
+
+
+class PlayedService:
+    """Domains of two entry VMs and some workers each.
+
+    Attributes:
+        doubled: Tasks that ran twice at the same time.
+        starts: How many tasks were started.
+
+    Args:
+        domains: How many failure domains there are.
+        workers: How many workers each of them has.
+        run_ms: How long a task takes.
+    """
+
+    def __init__(
+        self, domains: int = 3, workers: int = 4, run_ms: float = 900.0
+    ) -> None:
+        self.clock = clock_module.ManualClock(100_000.0)
+        self.doubled: list[Doubled] = []
+        self.starts = 0
+        self._events: list = []
+        self._numbers = itertools.count()
+        self._blocked: set[tuple[str, str]] = set()
+        self._row = dispatching.LeaseRow(0, '')
+        self._relink_at = 0.0
+        self.vm_by_name: dict[str, _Vm] = {}
+        self.worker_by_id: dict[str, _Worker] = {}
+        self._tasks: set[asyncio.Task] = set()
+        for letter in 'abcdefgh'[:domains]:
+            for number in range(workers):
+                worker = attrs.evolve(
+                    case.make_worker(f'{letter}-w{number}'),
+                    failure_domain=letter,
+                )
+                self.worker_by_id[worker.id] = _Worker(worker, run_ms)
+            for number in (1, 2):
+                self._add_vm(f'{letter}{number}', letter)
+        known = dict.fromkeys(self.vm_by_name, 1.0)
+        for vm in self.vm_by_name.values():
+            vm.leadership.peers_known(known)
+            vm.leadership.inform(self.now)
+        self._relink()
+
+    @property
+    def now(self) -> float:
+        """The time."""
+        return self.clock.now()
+
+    def names_of(self, domain: str) -> set[str]:
+        """Returns the VMs and workers of a domain."""
+        vms = {vm.name for vm in self.vm_by_name.values()}
+        return {n for n in vms | set(self.worker_by_id) if n[0] == domain}
+
+    def dispatcher(self) -> str:
+        """Returns the VM that dispatches for most."""
+        counts = collections.Counter(
+            vm.role.dispatcher for vm in self.vm_by_name.values()
+        )
+        return counts.most_common(1)[0][0]
+
+    # Faults.
+
+    def block(self, senders: set[str], receivers: set[str]) -> None:
+        """Lets nothing through from some to others."""
+        self._blocked |= {
+            (one, other)
+            for one in senders
+            for other in receivers
+            if one != other
+        }
+
+    def part(self, names: set[str]) -> None:
+        """Cuts some off from all others, the store among them."""
+        others = self._everybody() - names
+        self.block(names, others)
+        self.block(others, names)
+
+    def heal(self) -> None:
+        """Lets everything through again."""
+        self._blocked.clear()
+
+    def freeze(self, vm: str, ms: float) -> None:
+        """Stops a VM for a while; what reaches it meanwhile waits."""
+        self.vm_by_name[vm].frozen_until = self.now + ms
+
+    def kill(self, vm: str) -> None:
+        """Ends a VM; those who can hear that do."""
+        gone = self.vm_by_name.pop(vm)
+        gone.dispatcher = None
+        for other in self.vm_by_name.values():
+            if vm in other.linked and (vm, other.name) not in self._blocked:
+                self._lose(other, vm)
+        self.block({vm}, self._everybody())
+
+    # Clients.
+
+    def submit(self, vm: str, job_id: str, left_ms: float = 6_000.0) -> None:
+        """Hands a job of two tasks in, or the same one again."""
+        job = case.make_job(job_id, tasks=2, cores=20.0, estimate_ms=900.0)
+        home = self.vm_by_name[vm].home
+        # The service's own clock ends jobs, not the loop's.
+        task = asyncio.ensure_future(home.submit(job, _LONG_MS))
+        self._tasks.add(task)
+        self._at(self.now + left_ms, task.cancel)
+
+    async def run(self, ms: float) -> None:
+        """Lets time pass."""
+        until = self.now + ms
+        while self.now < until:
+            await asyncio.sleep(0)
+            step_end = self.now + _STEP_MS
+            while self._events and self._events[0][0] <= step_end:
+                when, _, what, arguments = heapq.heappop(self._events)
+                self.clock.advance(max(0.0, when - self.now))
+                what(*arguments)
+            self.clock.advance(max(0.0, step_end - self.now))
+            for worker in self.worker_by_id.values():
+                worker.settle(self.now)
+            for vm in list(self.vm_by_name.values()):
+                self._step(vm)
+            if self.now >= self._relink_at:
+                self._relink()
+
+    async def close(self) -> None:
+        """Ends what clients wait for."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # Parts of the above.
+
+    def _everybody(self) -> set[str]:
+        return set(self.vm_by_name) | set(self.worker_by_id) | {STORE}
+
+    def _add_vm(self, name: str, domain: str) -> None:
+        leadership = dispatching.Leadership(name, self.now, 1.0, 1)
+
+        def send(receiver: str, message: model.JobMessage) -> bool:
+            return self._send(name, receiver, message)
+
+        home = jobserver.JobHome(name, self.clock, send)
+        home.divide(dispatching.Cells())
+        self.vm_by_name[name] = _Vm(
+            name, domain, leadership, home, self.now, leadership.role
+        )
+
+    def _at(self, when: float, what, *arguments) -> None:
+        entry = (when, next(self._numbers), what, arguments)
+        heapq.heappush(self._events, entry)
+
+    def _reaches(self, one: str, other: str) -> bool:
+        return (one, other) not in self._blocked
+
+    def _lose(self, vm: _Vm, peer: str) -> None:
+        vm.linked.discard(peer)
+        vm.leadership.lost(peer, self.now)
+        vm.home.peer_lost(peer)
+        if vm.dispatcher is not None:
+            self._carry_out(vm, vm.dispatcher.home_lost(peer, self.now))
+        self._check_role(vm)
+
+    def _relink(self) -> None:
+        self._relink_at = self.now + _RELINK_MS
+        for one, other in itertools.combinations(
+            list(self.vm_by_name.values()), 2
+        ):
+            stands = other.name in one.linked and one.name in other.linked
+            through = self._reaches(one.name, other.name) and self._reaches(
+                other.name, one.name
+            )
+            frozen = max(one.frozen_until, other.frozen_until) > self.now
+            if stands or frozen or not through:
+                continue
+            for vm, peer in ((one, other), (other, one)):
+                vm.linked.add(peer.name)
+                vm.leadership.joined(peer.name, self.now)
+            self._pulse_to(one, other.name)
+            self._pulse_to(other, one.name)
+
+    def _step(self, vm: _Vm) -> None:
+        if vm.frozen_until > self.now:
+            return
+        if vm.waiting:
+            waiting, vm.waiting = vm.waiting, []
+            for what, arguments in waiting:
+                what(*arguments)
+        if self.now - vm.tick_at < dispatching.TICK_MS:
+            return
+        vm.tick_at = self.now
+        vm.leadership.tick(self.now)
+        for peer in vm.leadership.silent(self.now):
+            if peer in vm.linked:
+                self._lose(vm, peer)
+                closed = self.vm_by_name.get(peer)
+                if closed is not None and self._reaches(vm.name, peer):
+                    self._lose(closed, vm.name)
+        self._claim(vm)
+        self._check_role(vm)
+        if vm.dispatcher is not None and vm.leadership.may_order(self.now):
+            self._carry_out(vm, vm.dispatcher.tick(self.now))
+            self._hold_all(vm)
+        vm.home.hand_again()
+        self._pulse_if_due(vm)
+
+    def _claim(self, vm: _Vm) -> None:
+        wanted = vm.leadership.wants_claim(self.now)
+        if wanted is None:
+            return
+        reaches = self._reaches(vm.name, STORE) and self._reaches(
+            STORE, vm.name
+        )
+        if reaches and wanted.term <= self._row.term:
+            vm.leadership.claim_lost(self._row, self.now)
+            return
+        if reaches:
+            self._row = wanted
+        vm.leadership.claim_won(wanted, self.now)
+
+    def _check_role(self, vm: _Vm) -> None:
+        role = vm.leadership.role
+        if role == vm.role:
+            return
+        vm.role = role
+        acts = role.claim is not model.Claim.NONE
+        if acts and vm.dispatcher is None:
+            vm.dispatcher = dispatching.JobDispatcher(
+                _LIMITS, role.claim is model.Claim.DEPUTY
+            )
+            workers = [item.listed for item in self.worker_by_id.values()]
+            vm.held_by_worker = {item.id: _Held() for item in workers}
+            self._carry_out(
+                vm, vm.dispatcher.workers_listed(workers, self.now)
+            )
+        elif not acts:
+            vm.dispatcher = None
+        vm.home.follow(0, role.dispatcher)
+        self._pulse(vm)
+
+    # Messages.
+
+    def _pulse_if_due(self, vm: _Vm) -> None:
+        acts = vm.role.claim is not model.Claim.NONE
+        stride = 1 if acts else vm.leadership.stride
+        if self.now - vm.pulse_at >= dispatching.PULSE_MS * stride:
+            self._pulse(vm)
+            return
+        for peer in vm.leadership.dispatching_peers(self.now):
+            told_at = max(vm.pulse_at, vm.told_at_by_vm.get(peer, 0.0))
+            if self.now - told_at >= dispatching.PULSE_MS:
+                self._pulse_to(vm, peer)
+
+    def _pulse(self, vm: _Vm) -> None:
+        vm.pulse_at = self.now
+        for peer in sorted(vm.linked):
+            self._pulse_to(vm, peer)
+
+    def _pulse_to(self, vm: _Vm, peer: str) -> None:
+        self._send(vm.name, peer, vm.leadership.pulse())
+
+    def _send(
+        self, sender: str, receiver: str, message: model.Pulse | object
+    ) -> bool:
+        if sender == receiver:
+            self._take(sender, receiver, message)
+            return True
+        vm = self.vm_by_name.get(sender)
+        if vm is None or receiver not in vm.linked:
+            return False
+        vm.told_at_by_vm[receiver] = self.now
+        if self._reaches(sender, receiver):
+            arrival = self.now + _HOP_MS
+            self._at(arrival, self._arrive, sender, receiver, message)
+        return True
+
+    def _arrive(self, sender: str, receiver: str, message: object) -> None:
+        vm = self.vm_by_name.get(receiver)
+        if vm is None:
+            return
+        if vm.frozen_until > self.now:
+            vm.waiting.append((self._arrive, (sender, receiver, message)))
+        elif sender in vm.linked:
+            self._take(sender, receiver, message)
+
+    def _take(self, sender: str, receiver: str, message: object) -> None:
+        vm = self.vm_by_name[receiver]
+        if isinstance(message, model.Pulse):
+            vm.leadership.heard(sender, message, self.now)
+            self._check_role(vm)
+            return
+        vm.leadership.heard_from(sender, self.now)
+        if isinstance(message, model.JobProgress):
+            vm.home.progressed(sender, message)
+        elif isinstance(message, model.JobSettled):
+            vm.home.settled(sender, message)
+        elif isinstance(message, model.JobReleased):
+            vm.home.released(sender, message)
+        else:
+            self._take_as_dispatcher(vm, sender, message)
+
+    def _take_as_dispatcher(
+        self, vm: _Vm, sender: str, message: object
+    ) -> None:
+        dispatcher = vm.dispatcher
+        if isinstance(message, model.JobSubmitted):
+            if dispatcher is not None:
+                actions = dispatcher.submit(sender, message, self.now)
+                self._carry_out(vm, actions)
+            return
+        if dispatcher is not None:
+            actions = dispatcher.withdraw(sender, message.job, self.now)
+            self._carry_out(vm, actions)
+        if message.release:
+            self._send(vm.name, sender, model.JobReleased(message.job))
+
+    # Orders.
+
+    def _carry_out(self, vm: _Vm, actions: list[dispatching.Action]) -> None:
+        for action in actions:
+            if isinstance(action, dispatching.TellHome):
+                self._send(vm.name, action.vm, action.message)
+            elif isinstance(action, dispatching.StartTask):
+                self._start(vm, action)
+            elif isinstance(action, dispatching.StopTask):
+                self._stop(vm, action)
+            elif isinstance(action, dispatching.LookAt):
+                self._ask(vm, action.worker)
+
+    def _start(self, vm: _Vm, order: dispatching.StartTask) -> None:
+        dispatcher = vm.dispatcher
+        wanted = dispatcher is not None and dispatcher.is_wanted(order)
+        if not wanted or not vm.leadership.may_order(self.now):
+            self._reply(vm, dispatcher, order, model.OrderResult.NOT_SENT)
+            return
+        dispatcher.held(order.worker, self.now)
+        fence = vm.leadership.fence
+        result = model.OrderResult.UNKNOWN
+        if self._reaches(vm.name, order.worker):
+            worker = self.worker_by_id[order.worker]
+            worker.settle(self.now)
+            result = worker.start(order, vm.name, fence, self.now)
+            if result is model.OrderResult.DONE:
+                self._note_start(order, vm.name)
+        self._answer(vm, dispatcher, order, result)
+
+    def _note_start(self, order: dispatching.StartTask, starter: str) -> None:
+        self.starts += 1
+        for worker_id, worker in self.worker_by_id.items():
+            worker.settle(self.now)
+            for (task, _), run in worker.runs.items():
+                if task == order.task and worker_id != order.worker:
+                    self.doubled.append(
+                        Doubled(
+                            self.now,
+                            task,
+                            (worker_id, run.starter),
+                            (order.worker, starter),
+                        )
+                    )
+
+    def _stop(self, vm: _Vm, order: dispatching.StopTask) -> None:
+        result = model.OrderResult.UNKNOWN
+        if self._reaches(vm.name, order.worker):
+            worker = self.worker_by_id[order.worker]
+            worker.settle(self.now)
+            worker.stop(order, vm.leadership.fence)
+            result = model.OrderResult.DONE
+        self._answer(vm, vm.dispatcher, order, result)
+
+    def _answer(self, vm: _Vm, dispatcher, order, result) -> None:
+        if not self._reaches(order.worker, vm.name):
+            result = model.OrderResult.UNKNOWN
+        is_lost = result is model.OrderResult.UNKNOWN
+        when = self.now + (_ANSWER_MS if is_lost else 2 * _HOP_MS)
+        self._at(when, self._reply, vm, dispatcher, order, result)
+
+    def _reply(self, vm: _Vm, dispatcher, order, result) -> None:
+        if dispatcher is None or vm.dispatcher is not dispatcher:
+            return
+        if vm.frozen_until > self.now:
+            arguments = (vm, dispatcher, order, result)
+            vm.waiting.append((self._reply, arguments))
+            return
+        if result is model.OrderResult.FENCED:
+            vm.leadership.fenced(vm.leadership.fence)
+        reply = model.OrderReply(result, self.now)
+        if isinstance(order, dispatching.StartTask):
+            actions = dispatcher.start_answered(order, reply, self.now)
+        else:
+            actions = dispatcher.stop_answered(order, reply, self.now)
+        self._carry_out(vm, actions)
+
+    def _hold_all(self, vm: _Vm) -> None:
+        for worker_id, held in vm.held_by_worker.items():
+            if vm.dispatcher is not None and self.now >= held.next_at:
+                held.next_at = self.now + _HOLD_WAIT_MS
+                self._ask(vm, worker_id)
+
+    def _ask(self, vm: _Vm, worker_id: str) -> None:
+        dispatcher = vm.dispatcher
+        held = vm.held_by_worker[worker_id]
+        if dispatcher is None or not vm.leadership.may_order(self.now):
+            return
+        prolong = dispatcher.may_prolong(worker_id, self.now)
+        dispatcher.held(worker_id, self.now)
+        report = None
+        if self._reaches(vm.name, worker_id):
+            worker = self.worker_by_id[worker_id]
+            worker.settle(self.now)
+            report = worker.hold(
+                vm.leadership.fence, held.acknowledged, prolong, self.now
+            )
+            if report is None:
+                vm.leadership.fenced(vm.leadership.fence)
+                return
+        if report is not None and self._reaches(worker_id, vm.name):
+            self._at(
+                self.now + 2 * _HOP_MS,
+                self._reported,
+                vm,
+                dispatcher,
+                worker_id,
+                report,
+            )
+        else:
+            self._at(
+                self.now + _ANSWER_MS,
+                self._unanswered,
+                vm,
+                dispatcher,
+                worker_id,
+            )
+
+    def _reported(self, vm: _Vm, dispatcher, worker_id: str, report) -> None:
+        if vm.dispatcher is not dispatcher:
+            return
+        if vm.frozen_until > self.now:
+            arguments = (vm, dispatcher, worker_id, report)
+            vm.waiting.append((self._reported, arguments))
+            return
+        held = vm.held_by_worker[worker_id]
+        held.failures = 0
+        for row in report.ended:
+            held.acknowledged = max(held.acknowledged, row.number)
+        actions = dispatcher.reported(worker_id, report, self.now)
+        self._carry_out(vm, actions)
+
+    def _unanswered(self, vm: _Vm, dispatcher, worker_id: str) -> None:
+        if vm.dispatcher is not dispatcher or vm.frozen_until > self.now:
+            return
+        held = vm.held_by_worker[worker_id]
+        held.failures += 1
+        if held.failures >= 2:
+            actions = dispatcher.silent(worker_id, 'no answer', self.now)
+            self._carry_out(vm, actions)
--- /dev/null
+++ b/tests/dispatching/test_who_starts.py
@@ -0,0 +1,235 @@
+"""Tests that no task runs twice, whoever is parted from whom."""
+
+import asyncio
+import collections.abc
+import itertools
+import unittest
+
+from tests.dispatching import played_service
+
+_FAULT_MS = (300.0, 1_500.0, 5_000.0)
+_JOBS_MS = 170.0
+
+# Where a fault falls between two signs of life, and two looks at the time.
+_OFFSETS_MS = (0.0, 50.0)
+
+# Workers of each domain: with few, tasks that start again wait for room;
+# with more, they start as soon as they may.
+_WORKERS = (2, 4)
+
+# A client whose connection has broken comes again after this long.
+_COME_AGAIN_MS = 1_300.0
+
+_Fault = collections.abc.Callable[[played_service.PlayedService, str], None]
+
+
+def _home(service: played_service.PlayedService, dispatcher: str) -> str:
+    """Returns a VM of another domain than the dispatcher's."""
+    names = sorted(service.vm_by_name)
+    return next(name for name in names if name[0] != dispatcher[0])
+
+
+def _cut_dispatchers_domain(service, dispatcher: str) -> None:
+    service.part(service.names_of(dispatcher[0]))
+
+
+def _cut_a_homes_domain(service, dispatcher: str) -> None:
+    service.part(service.names_of(_home(service, dispatcher)[0]))
+
+
+def _cut_the_dispatcher(service, dispatcher: str) -> None:
+    service.part({dispatcher})
+
+
+def _cut_a_home(service, dispatcher: str) -> None:
+    service.part({_home(service, dispatcher)})
+
+
+def _cut_dispatcher_from_vms(service, dispatcher: str) -> None:
+    others = set(service.vm_by_name) - {dispatcher}
+    service.block({dispatcher}, others)
+    service.block(others, {dispatcher})
+
+
+def _nothing_leaves_the_dispatcher(service, dispatcher: str) -> None:
+    others = set(service.vm_by_name) - {dispatcher}
+    service.block({dispatcher}, others)
+
+
+def _nothing_reaches_the_dispatcher(service, dispatcher: str) -> None:
+    others = set(service.vm_by_name) - {dispatcher}
+    service.block(others, {dispatcher})
+
+
+def _nothing_leaves_a_home(service, dispatcher: str) -> None:
+    home = _home(service, dispatcher)
+    service.block({home}, set(service.vm_by_name) - {home})
+
+
+def _nothing_reaches_a_home(service, dispatcher: str) -> None:
+    home = _home(service, dispatcher)
+    service.block(set(service.vm_by_name) - {home}, {home})
+
+
+def _cut_a_home_from_the_dispatcher(service, dispatcher: str) -> None:
+    home = _home(service, dispatcher)
+    service.block({home}, {dispatcher})
+    service.block({dispatcher}, {home})
+
+
+def _cut_workers_from_the_dispatcher(service, dispatcher: str) -> None:
+    workers = {key for key in service.worker_by_id if key[0] != dispatcher[0]}
+    service.block({dispatcher}, workers)
+    service.block(workers, {dispatcher})
+
+
+def _answers_of_workers_are_lost(service, dispatcher: str) -> None:
+    service.block(set(service.worker_by_id), {dispatcher})
+
+
+def _cut_the_store(service, dispatcher: str) -> None:
+    service.block(set(service.vm_by_name), {played_service.STORE})
+
+
+def _cut_store_and_dispatchers_domain(service, dispatcher: str) -> None:
+    _cut_the_store(service, dispatcher)
+    _cut_dispatchers_domain(service, dispatcher)
+
+
+def _freeze_the_dispatcher(service, dispatcher: str) -> None:
+    service.freeze(dispatcher, 3_500.0)
+
+
+def _kill_the_dispatcher(service, dispatcher: str) -> None:
+    service.kill(dispatcher)
+
+
+def _kill_in_a_cut(service, dispatcher: str) -> None:
+    _cut_dispatchers_domain(service, dispatcher)
+    service.kill(dispatcher)
+
+
+_FAULTS: tuple[_Fault, ...] = (
+    _cut_dispatchers_domain,
+    _cut_a_homes_domain,
+    _cut_the_dispatcher,
+    _cut_a_home,
+    _cut_dispatcher_from_vms,
+    _nothing_leaves_the_dispatcher,
+    _nothing_reaches_the_dispatcher,
+    _nothing_leaves_a_home,
+    _nothing_reaches_a_home,
+    _cut_a_home_from_the_dispatcher,
+    _cut_workers_from_the_dispatcher,
+    _answers_of_workers_are_lost,
+    _cut_the_store,
+    _cut_store_and_dispatchers_domain,
+    _freeze_the_dispatcher,
+    _kill_the_dispatcher,
+    _kill_in_a_cut,
+)
+
+
+class WhoStartsTest(unittest.IsolatedAsyncioTestCase):
+    """Of two that hold a job, one at most has a task of it running."""
+
+    async def _play(
+        self,
+        fault: _Fault,
+        fault_ms: float,
+        offset_ms: float = 0.0,
+        workers: int = 2,
+    ) -> played_service.PlayedService:
+        service = played_service.PlayedService(workers=workers)
+        self.addAsyncCleanup(service.close)
+        await service.run(2_500.0 + offset_ms)
+        dispatcher = service.dispatcher()
+        # Some run when the fault begins, some come while it lasts.
+        for number in range(5):
+            self._submit_everywhere(service, f'{number}')
+            await service.run(_JOBS_MS)
+        fault(service, dispatcher)
+        for number in range(5, 8):
+            self._submit_everywhere(service, f'{number}')
+            await service.run(_JOBS_MS)
+        await service.run(max(0.0, fault_ms - 3 * _JOBS_MS))
+        service.heal()
+        await service.run(2_000.0)
+        return service
+
+    def _submit_everywhere(self, service, number: str) -> None:
+        for vm in list(service.vm_by_name)[::2]:
+            service.submit(vm, f'{vm}-{number}')
+
+    async def asyncSetUp(self) -> None:
+        # Thousands of short steps a second are slow in debug mode.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def test_no_fault_doubles_a_task(self) -> None:
+        """Each pair that may hold one job is parted in each way.
+
+        If both started a task of it, its caller would find work done twice.
+        """
+        cases = itertools.product(_FAULTS, _FAULT_MS, _OFFSETS_MS, _WORKERS)
+        for fault, fault_ms, offset_ms, workers in cases:
+            with self.subTest(
+                fault.__name__, ms=fault_ms, at=offset_ms, workers=workers
+            ):
+                service = await self._play(fault, fault_ms, offset_ms, workers)
+                self.assertEqual([], service.doubled)
+                # It has served at all.
+                self.assertGreater(service.starts, 30)
+
+    async def test_a_second_cut_doubles_no_task(self) -> None:
+        """A deputy has used workers of its domain when the cut heals.
+
+        The dispatcher takes them up again, and a second cut follows at once.
+        """
+        for pause_ms in (30.0, 150.0, 400.0, 900.0):
+            with self.subTest(pause_ms):
+                service = await self._play(_cut_a_homes_domain, 1_500.0)
+                await service.run(pause_ms)
+                _cut_a_homes_domain(service, service.dispatcher())
+                self._submit_everywhere(service, 'again')
+                await service.run(2_500.0)
+                service.heal()
+                await service.run(1_500.0)
+                self.assertEqual([], service.doubled)
+
+    async def test_a_client_that_comes_again_on_the_other_side(self) -> None:
+        """A domain is cut off, and clients' connections break with it.
+
+        They come again at a VM on the other side, which knows nothing of
+        the job. By then nothing may run of it any more where it was.
+        """
+        for fault in (
+            _cut_dispatchers_domain,
+            _cut_a_homes_domain,
+            _kill_in_a_cut,
+        ):
+            with self.subTest(fault.__name__):
+                service = played_service.PlayedService()
+                self.addAsyncCleanup(service.close)
+                await service.run(2_500.0)
+                dispatcher = service.dispatcher()
+                home = _home(service, dispatcher)
+                elsewhere = next(
+                    vm
+                    for vm in sorted(service.vm_by_name)
+                    if vm[0] not in (home[0], dispatcher[0])
+                )
+                # The client's connection ends with its home.
+                for number in range(5):
+                    service.submit(home, f'job-{number}')
+                    service.submit(dispatcher, f'other-{number}')
+                    await service.run(100.0)
+                fault(service, dispatcher)
+                service.kill(home)
+                if dispatcher in service.vm_by_name:
+                    service.kill(dispatcher)
+                await service.run(_COME_AGAIN_MS)
+                for number in range(5):
+                    service.submit(elsewhere, f'job-{number}')
+                    service.submit(elsewhere, f'other-{number}')
+                await service.run(3_000.0)
+                self.assertEqual([], service.doubled)
