--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -13,7 +13,6 @@
 from rosemaryroad.dispatching._leadership import CLAIM_TIMEOUT_MS
 from rosemaryroad.dispatching._leadership import Leadership
 from rosemaryroad.dispatching._leadership import LeaseRow
-from rosemaryroad.dispatching._leadership import PULSE_MS
 from rosemaryroad.dispatching._leadership import Role
 from rosemaryroad.dispatching._leadership import TICK_MS
 from rosemaryroad.dispatching._load import DispatcherLoad
@@ -21,7 +20,6 @@
 
 __all__ = [
     'CLAIM_TIMEOUT_MS',
-    'PULSE_MS',
     'Action',
     'Cells',
     'DispatchLimits',
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -13,15 +13,10 @@
 import attrs
 
 from rosemaryroad import model
+from rosemaryroad.dispatching import _pace
 from rosemaryroad.dispatching import _signs
 from rosemaryroad.dispatching import _strain
 
-# Between whoever dispatches and the others, signs of life go out every
-# PULSE_MS. Four in a row have to be missing before one counts as silent,
-# since a VM that is slowed down five times is late by some hundred ms.
-PULSE_MS = 60.0
-SILENT_MS = 240.0
-
 # How often the time is looked at; a change of dispatcher waits for it.
 TICK_MS = 30.0
 
@@ -30,12 +25,6 @@
 _TENURE_MS = 3_000.0
 _ASIDE_MS = 5_000.0
 
-# VMs that don't dispatch give each other signs so many times as seldom; in
-# larger groups more so, since these grow with the square of their number.
-_STRIDE = 2
-_VMS_AT_FIRST_STRIDE = 12
-_VMS_A_STRIDE = 5
-
 # After a loss, the others' next signs tell whether they still hear the
 # dispatcher; they send one at once when they lose it themselves.
 _AGREE_MS = 60.0
@@ -54,10 +43,6 @@
 # back, which takes some hundred milliseconds after a reset.
 _DEPUTY_MS = 400.0
 
-# A process whose timers are late by this much was stopped meanwhile, and
-# may have been replaced; others need SILENT_MS and _AGREE_MS for that.
-_PAUSE_MS = 220.0
-
 # Within so long a VM that lives has given a sign, whatever it does.
 _HEARD_MS = 240.0
 
@@ -124,9 +109,10 @@
         self._ticked_at = now
         self._unsure_until = now
         self._wait_until = now
-        self._signs = _signs.Signs(SILENT_MS, self._silence_ms)
+        self._signs = _signs.Signs(self._silence_ms)
         self._known: frozenset[str] = frozenset()
         self._most_cores = cores
+        self._pace = _pace.pace_of(1)
         self._lost_at = now
         self._lost = ''
         self._lost_in_order = False
@@ -169,7 +155,10 @@
         """
         if self._claim is model.Claim.NONE:
             return False
-        return now >= self._unsure_until and now - self._ticked_at < _PAUSE_MS
+        return (
+            now >= self._unsure_until
+            and now - self._ticked_at < self._pace.pause_ms
+        )
 
     def pulse(self) -> model.Pulse:
         """Returns the sign of life to send."""
@@ -192,6 +181,7 @@
     ) -> None:
         """Takes in which entry VMs there are, with their processors."""
         self._known = frozenset(cores_by_vm) - {self._vm}
+        self._pace = _pace.pace_of(1 + len(self._known))
         self._most_cores = max(cores_by_vm.values(), default=0.0)
 
     def inform(self, now: float) -> bool:
@@ -271,11 +261,16 @@
         self._evaluate(now)
 
     @property
-    def stride(self) -> int:
-        """How many times as seldom a VM that doesn't dispatch gives signs."""
-        if len(self._known) < _VMS_AT_FIRST_STRIDE:
-            return _STRIDE
-        return _STRIDE * (1 + len(self._known) // _VMS_A_STRIDE)
+    def pace(self) -> _pace.Pace:
+        """How often signs of life go out."""
+        return self._pace
+
+    @property
+    def pulse_every_ms(self) -> float:
+        """How often this VM gives signs to all others."""
+        if self._claim is not model.Claim.NONE:
+            return self._pace.pulse_ms
+        return self._pace.pulse_ms * self._pace.stride
 
     def dispatching_peers(self, now: float) -> frozenset[str]:
         """Returns the peers that give orders; they need signs at full rate."""
@@ -287,10 +282,10 @@
 
     def tick(self, now: float) -> None:
         """Looks at the time; to be called every few ten milliseconds."""
-        if now - self._ticked_at >= _PAUSE_MS:
+        if now - self._ticked_at >= self._pace.pause_ms:
             # What was heard before the pause says nothing of the present.
             self._unsure_until = now + _HEARD_MS
-            self._signs.renew(now - SILENT_MS + _HEARD_MS)
+            self._signs.renew(now - self._pace.silent_ms + _HEARD_MS)
         late_ms = max(0.0, now - self._ticked_at - TICK_MS)
         self._strain.looked(late_ms, now)
         self._ticked_at = now
@@ -379,8 +374,8 @@
         claims = pulse is not None and pulse.claim is not model.Claim.NONE
         acts = self._claim is not model.Claim.NONE
         if claims or acts or vm == self._dispatcher:
-            return SILENT_MS
-        return SILENT_MS * self.stride
+            return self._pace.silent_ms
+        return self._pace.silent_ms * self._pace.stride
 
     def _best_other(self, now: float) -> str | None:
         best = None
@@ -418,7 +413,7 @@
         if self._claim is model.Claim.NONE:
             # So far the others gave signs less often than a dispatcher
             # expects them; they hear of this one first.
-            self._signs.renew(now - SILENT_MS + _HEARD_MS)
+            self._signs.renew(now - self._pace.silent_ms + _HEARD_MS)
         self._claim = claim
         self._claimed_at = now
 
--- a/rosemaryroad/dispatching/_signs.py
+++ b/rosemaryroad/dispatching/_signs.py
@@ -8,6 +8,9 @@
 
 _Limit = collections.abc.Callable[[str], float]
 
+# No limit is shorter.
+_LEAST_MS = 240.0
+
 
 @attrs.define(eq=False)
 class _Peer:
@@ -22,13 +25,10 @@
     """The signs of life of the VMs that a link stands to.
 
     Args:
-        least_ms: For how long any peer may be silent.
-        limit_ms: Returns for how long a peer may be silent; as long at
-            least.
+        limit_ms: Returns for how long a peer may be silent.
     """
 
-    def __init__(self, least_ms: float, limit_ms: _Limit) -> None:
-        self._least_ms = least_ms
+    def __init__(self, limit_ms: _Limit) -> None:
         self._limit_ms = limit_ms
         self._peer_by_vm: dict[str, _Peer] = {}
 
@@ -94,6 +94,4 @@
         # Nearly all have been heard just now, and their limits cost more to
         # find than all the rest.
         silence_ms = now - peer.heard_at
-        return silence_ms >= self._least_ms and (
-            silence_ms >= self._limit_ms(vm)
-        )
+        return silence_ms >= _LEAST_MS and silence_ms >= self._limit_ms(vm)
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -144,7 +144,7 @@
     @property
     def stride(self) -> int:
         """How many times as seldom the VMs of a large group do things."""
-        return self._elections[0].leadership.stride
+        return self._elections[0].leadership.pace.stride
 
     @property
     def roles(self) -> list[dispatching.Role]:
@@ -251,11 +251,9 @@
             self._pulse_to_dispatchers(now)
 
     def _pulse_every_ms(self) -> float:
-        acts = any(
-            election.role.claim is not model.Claim.NONE
-            for election in self._elections
+        return min(
+            election.leadership.pulse_every_ms for election in self._elections
         )
-        return dispatching.PULSE_MS * (1 if acts else self.stride)
 
     def _claim_cells(self, now: float) -> None:
         for election in self._elections:
@@ -290,11 +288,12 @@
     def _pulse_to_dispatchers(self, now: float) -> None:
         """Gives those a sign of life that would miss it first."""
         acting = set()
+        pulse_ms = self._elections[0].leadership.pace.pulse_ms
         for election in self._elections:
             acting |= election.leadership.dispatching_peers(now)
         for vm in acting:
             told_at = self._told_at_by_vm.get(vm, 0.0)
-            if now - max(told_at, self._pulse_at) >= dispatching.PULSE_MS:
+            if now - max(told_at, self._pulse_at) >= pulse_ms:
                 self.send(vm, self._make_pulses())
 
     def _make_pulses(self) -> model.Pulses:
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -189,9 +189,7 @@
         if leadership.role != vm.role:
             vm.role = leadership.role
             self._pulse(name)
-        acts = leadership.role.claim is not model.Claim.NONE
-        stride = 1 if acts else leadership.stride
-        if self.now - vm.pulse_at >= dispatching.PULSE_MS * stride:
+        if self.now - vm.pulse_at >= leadership.pulse_every_ms:
             self._pulse(name)
         else:
             self._pulse_to_dispatchers(name)
@@ -217,7 +215,7 @@
         for peer in vm.leadership.dispatching_peers(self.now):
             told_at = max(vm.pulse_at, vm.told_at_by_vm.get(peer, 0.0))
             is_linked = (name, peer) in self._linked
-            if is_linked and self.now - told_at >= dispatching.PULSE_MS:
+            if is_linked and self.now - told_at >= vm.leadership.pace.pulse_ms:
                 vm.told_at_by_vm[peer] = self.now
                 self.signs_sent += 1
                 self._pulse_to(peer, name)
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -392,14 +392,12 @@
     # Messages.
 
     def _pulse_if_due(self, vm: _Vm) -> None:
-        acts = vm.role.claim is not model.Claim.NONE
-        stride = 1 if acts else vm.leadership.stride
-        if self.now - vm.pulse_at >= dispatching.PULSE_MS * stride:
+        if self.now - vm.pulse_at >= vm.leadership.pulse_every_ms:
             self._pulse(vm)
             return
         for peer in vm.leadership.dispatching_peers(self.now):
             told_at = max(vm.pulse_at, vm.told_at_by_vm.get(peer, 0.0))
-            if self.now - told_at >= dispatching.PULSE_MS:
+            if self.now - told_at >= vm.leadership.pace.pulse_ms:
                 self._pulse_to(vm, peer)
 
     def _pulse(self, vm: _Vm) -> None:
