Hand a lagging peer what it lacks once, and from one VM

Now the first by name of those that have it sends it, to a peer that has lagged for 0.6 s or has none at all; any other does after 1.2 s.

--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -15,6 +15,7 @@
 from rosemaryroad import platform
 from rosemaryroad.jobserver import _election
 from rosemaryroad.jobserver import _rows
+from rosemaryroad.jobserver import _sharing
 
 _LOG = logging.getLogger(__name__)
 
@@ -24,6 +25,11 @@
 _CELLS_AFTER_MS = 1_000.0
 
 
+# A VM that reads the store has a new configuration some 100 ms after the
+# others, and has to have it within two seconds.
+_QUEUES_PATIENCE_MS = 600.0
+
+
 class JobLinkHandler(peers.PeerHandler):
     """Hands what peers tell to those whom it concerns."""
 
@@ -137,6 +143,8 @@
         self._propose_at = clock.now() + _CELLS_AFTER_MS
         self._pulse_at = 0.0
         self._told_at_by_vm: dict[str, float] = {}
+        self._queues_sharing = _sharing.Sharing(vm.vm, _QUEUES_PATIENCE_MS)
+        self._directory_sharing = _sharing.Sharing(vm.vm, 0.0)
         self._background = _background.BackgroundTasks(
             lambda error: logs.fault(_LOG, 'claim_failed', error)
         )
@@ -184,6 +192,8 @@
         """Takes in that no link to a peer is left."""
         for election in self._elections:
             election.leadership.lost(vm, self._clock.now())
+        self._queues_sharing.lost(vm)
+        self._directory_sharing.lost(vm)
         self._handler.peer_lost(vm)
         self._check_roles()
         # The others wait for this VM's word before one of them takes over.
@@ -387,10 +397,12 @@
             self._pulse()
 
     def _share_directory(self, vm: str, message: model.Pulses) -> None:
+        """Tells a peer that has just started what it may not read itself."""
         workers = self._workers()
-        knows = all(pulse.informed for pulse in message.by_cell)
-        if not knows and workers is not None and self._vms:
-            # The peer has just started and may be parted from the store.
+        theirs = all(pulse.informed for pulse in message.by_cell)
+        own = workers is not None and bool(self._vms)
+        now = self._clock.now()
+        if self._directory_sharing.is_due(vm, theirs, own, now):
             self._links.tell(vm, model.DirectoryShared(workers, self._vms))
 
     def _take_directory(self, message: model.DirectoryShared) -> None:
@@ -401,8 +413,13 @@
         self.check_informed()
 
     def _share_queues(self, vm: str, message: model.Pulses) -> None:
+        """Tells a peer the queues in force.
+
+        It may be parted from the store, and would go on with queues that
+        operators have taken away.
+        """
         table = self._queue_table()
-        if table is not None and message.table_version < table.version:
-            # The peer may be parted from the store; it would go on with
-            # queues that operators have taken away.
+        own = 0 if table is None else table.version
+        theirs = message.table_version
+        if self._queues_sharing.is_due(vm, theirs, own, self._clock.now()):
             self._links.tell(vm, model.QueuesShared(table))
