Wait for changes of the store for seconds, not half a minute

The store gives no answers from 18.0 to 22.2 s. Each dispatcher's call for changes of the workers had reached it then, was never answered, and was waited for until 44 s, since its connection kept answering probes. No dispatcher saw the nine workers begin to leave at 27.2 s (not one worker_leaving line), and they got tasks until they were gone.

--- a/rosemaryroad/jobserver/_following.py
+++ b/rosemaryroad/jobserver/_following.py
@@ -16,10 +16,6 @@
 _LOG = logging.getLogger(__name__)
 _MS_PER_SECOND = 1000.0
 
-# One call waits this long for a change. The store charges for each call;
-# a connection that goes silent is noticed by its probes, not by this.
-_WAIT_MS = 25_000.0
-
 # How long to rest after a call that failed, at first.
 _PAUSE_MS = 100.0
 
@@ -38,6 +34,10 @@
         clock: The clock.
         rng: Where jitter comes from.
         metrics: Where calls are counted.
+        wait_ms: How long one call waits for a change. The store charges for
+            each; but a call that reaches it while it gives no answers is
+            never answered, though its connection seems well, and nothing
+            new is known here until it has been waited for.
         rest_ms: Returns how long to rest between two calls. Minions write
             their entries every second or so; asked without a rest, the
             store answers each such write with a call of its own.
@@ -51,6 +51,7 @@
         clock: clock_module.Clock,
         rng: random.Random,
         metrics: _metrics.JobMetrics,
+        wait_ms: float,
         rest_ms: collections.abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._tables = tables
@@ -59,6 +60,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
+        self._wait_ms = wait_ms
         self._rest_ms = rest_ms
         self._rested = asyncio.Event()
         self._row_by_key: dict[str, platform.Row] = {}
@@ -76,7 +78,7 @@
     def age_ms(self) -> float:
         """How long ago the store last answered a call about the table.
 
-        While nothing changes it answers once in some 25 s.
+        While nothing changes it answers once in the time that a call waits.
         """
         return self._clock.now() - self._answered_at
 
@@ -118,7 +120,7 @@
             return
         try:
             found = await self._tables.changes(
-                self._table, self._version, _WAIT_MS
+                self._table, self._version, self._wait_ms
             )
         except platform.HistoryLost as error:
             logs.event(
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -59,6 +59,13 @@
 _WORKERS_REST_MS = 400.0
 _WORKERS_IDLE_REST_MS = 2_000.0
 
+# How long a call waits for changes. Workers that leave and new queues have
+# to be known within some seconds of the store's return; new VMs also link
+# to the ones that know of them.
+_WORKERS_WAIT_MS = 1_500.0
+_QUEUES_WAIT_MS = 2_500.0
+_VMS_WAIT_MS = 10_000.0
+
 
 class JobNode(_members.MembersHandler):
     """The parts of one daemon.
@@ -116,12 +123,19 @@
         )
         handler.connect(self._members)
         self._workers_follower = self._follower(
-            adapter.workers_table, self._on_workers, self._workers_rest_ms
+            adapter.workers_table,
+            self._on_workers,
+            _WORKERS_WAIT_MS,
+            self._workers_rest_ms,
         )
         self._followers = (
             self._workers_follower,
-            self._follower(adapter.queues_table, self._on_queues),
-            self._follower(_rows.TABLE, self._members.rows_changed),
+            self._follower(
+                adapter.queues_table, self._on_queues, _QUEUES_WAIT_MS
+            ),
+            self._follower(
+                _rows.TABLE, self._members.rows_changed, _VMS_WAIT_MS
+            ),
         )
         self._queues_since = clock.now()
 
@@ -338,6 +352,7 @@
         self,
         table: str,
         on_rows: collections.abc.Callable,
+        wait_ms: float,
         rest_ms: collections.abc.Callable[[], float] = lambda: 0.0,
     ) -> _following.TableFollower:
         return _following.TableFollower(
@@ -347,6 +362,7 @@
             self._clock,
             self._rng,
             self.metrics,
+            wait_ms,
             rest_ms,
         )
 
