--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -479,6 +479,10 @@
             for vm, pulse in self._signs.fresh(now).items()
             if self._leaving or not pulse.leaving
         }
+        if self._lost_in_order:
+            # All have heard the dispatcher say so, though they haven't told
+            # yet. Left out, a stronger one would not be waited for.
+            return staying, True
         without = {
             vm: pulse
             for vm, pulse in staying.items()
@@ -486,7 +490,7 @@
         }
         # A sign from before the loss objects to nothing; of a VM behind the
         # same cut it is the last one for long.
-        are_all = self._lost_in_order or not any(
+        are_all = not any(
             self._signs.is_newer(vm, self._lost_at)
             for vm in staying.keys() - without.keys()
         )
--- a/rosemaryroad/jobserver/_front.py
+++ b/rosemaryroad/jobserver/_front.py
@@ -17,10 +17,18 @@
 _FIRST_QUEUES_MS = 400.0
 _FIRST_QUEUES_POLL_MS = 10.0
 
+# A balancer that has too few other VMs goes on giving connections to one that
+# leaves. The longest jobs are refused so long before its end; short ones still
+# have time.
+_LAST_JOBS_MS = 1_200.0
+
 
 class JobFront(jobservice.JobService):
     """Takes jobs in and tells of them.
 
+    Attributes:
+        ends_at: When the daemon has to end, or None while it needn't.
+
     Args:
         queues: The queues in force.
         home: The jobs held here.
@@ -39,6 +47,16 @@
         self._home = home
         self._metrics = metrics
         self._clock = clock
+        self.ends_at: float | None = None
+
+    def has_time_for(self, job: model.Job) -> bool:
+        """Tells whether a job may end here before the daemon has to."""
+        if self.ends_at is None:
+            return True
+        terms = job.terms
+        objective_ms = terms.slack_factor * job.estimate_ms + terms.target_ms
+        needed_ms = min(objective_ms, _LAST_JOBS_MS)
+        return self._clock.now() + needed_ms < self.ends_at
 
     @property
     def has_queues(self) -> bool:
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -47,10 +47,6 @@
 # jobs; it asks once a second and takes two misses.
 _LINGER_MS = 2_300.0
 
-# A balancer that has too few others goes on giving out connections. What
-# comes in the last of the drain could not be answered before its end.
-_LAST_JOBS_MS = 1_200.0
-
 _FLUSH_MS = 100.0
 
 # A worker that leaves must get no task two seconds after it has said so.
@@ -186,16 +182,15 @@
         self.front.is_leaving = True
         self.front.is_ready = False
         self._members.leave()
-        refuse_at = limit - _LAST_JOBS_MS
+        self.front.ends_at = limit
         while self._clock.now() < limit:
-            self.front.is_closed = self._clock.now() >= refuse_at
             lingered = self._clock.now() - began >= _LINGER_MS
             if lingered and not self._is_needed:
                 break
             await self._clock.sleep(_DRAIN_POLL_MS)
         # From here on no job is taken in; one that came between this look
         # and the end of its connection would be cut off unanswered.
-        self.front.is_closed = True
+        self.front.ends_at = self._clock.now()
         answered = not self._home.jobs_held
         self._home.give_up_held()
         await self._clock.sleep(_DRAIN_POLL_MS)
--- a/rosemaryroad/jobservice.py
+++ b/rosemaryroad/jobservice.py
@@ -43,12 +43,10 @@
     Attributes:
         is_ready: Whether new connections should come here.
         is_leaving: Whether the daemon is shutting down.
-        is_closed: Whether it takes no jobs any more.
     """
 
     is_ready: bool = False
     is_leaving: bool = False
-    is_closed: bool = False
 
     @property
     @abc.abstractmethod
@@ -67,6 +65,10 @@
     def find_queue(self, host: str, path: str) -> QueueMatch | None:
         """Returns the queue that a call is for, if there is one."""
 
+    @abc.abstractmethod
+    def has_time_for(self, job: model.Job) -> bool:
+        """Tells whether a job may end here before the daemon has to."""
+
     @abc.abstractmethod
     async def submit(self, job: model.Job, left_ms: float) -> JobAnswer:
         """Has a job done and returns how it ended.
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -182,8 +182,6 @@
     ) -> sanic.HTTPResponse:
         front = self._front
         job_id = match.rest
-        if front.is_closed:
-            return self._refuse(job_id, 'about to end')
         try:
             job = _read_job(job_id, match.route, request.body)
         except Malformed as error:
@@ -197,6 +195,8 @@
             return self._plain(http.HTTPStatus.BAD_REQUEST)
         except Unserved as error:
             return self._refuse(job_id, f'not served: {error}')
+        if not front.has_time_for(job):
+            return self._refuse(job_id, 'about to end')
         answer = await front.submit(job, _left_ms(request))
         return self._answer(answer)
 
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -1,5 +1,6 @@
 """Tests of who dispatches, and of how long nobody does."""
 
+import itertools
 import unittest
 
 from rosemaryroad import model
@@ -62,6 +63,24 @@
         group.run_until_one(500)
         self.assertEqual(['strong'], list(group.claims()))
 
+    def test_the_strongest_succeeds_one_that_leaves(self) -> None:
+        """The dispatcher is restarted, and the others hear of it in turn.
+
+        If the first to hear took over, a weak VM would often dispatch: it
+        has to go on for three seconds, and most jobs are late or refused.
+        """
+        group = played_group.PlayedGroup()
+        # The weakest looks at the time first.
+        for number, name in reversed(list(enumerate(_SEVEN))):
+            group.add(name, cores=2.0 - 0.25 * number)
+        group.run_until_one(2_000)
+        group.run(3_000)
+        for first, second in itertools.pairwise(_SEVEN[:4]):
+            self.assertEqual([first], list(group.claims()))
+            group.vm_by_name[first].leadership.leave(group.now)
+            group.run(500)
+            self.assertEqual([second], list(group.claims()))
+
 
 class LeadershipTest(unittest.TestCase):
     """One VM dispatches for all that reach it, and soon another."""
--- /dev/null
+++ b/tests/jobserver/test_front.py
@@ -0,0 +1,48 @@
+"""Tests of what a VM that leaves still takes in."""
+
+import unittest
+
+from rosemaryroad import clock
+from rosemaryroad import jobserver
+from rosemaryroad.jobserver import _metrics
+from tests.dispatching import case
+
+
+class LeavingTest(unittest.TestCase):
+    """A job is refused only where it can't end in time."""
+
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock(1_000.0)
+        home = jobserver.JobHome('entry-1', self.clock, lambda *_: False)
+        self.front = jobserver.JobFront(
+            jobserver.QueueBook(),
+            home,
+            _metrics.JobMetrics('entry-1'),
+            self.clock,
+        )
+
+    def _takes(self, estimate_ms: float) -> bool:
+        job = case.make_job(estimate_ms=estimate_ms)
+        return self.front.has_time_for(job)
+
+    def test_a_vm_that_stays_takes_all(self) -> None:
+        self.assertTrue(self._takes(60_000.0))
+
+    def test_short_jobs_are_taken_in_longer_than_long_ones(self) -> None:
+        """A VM is restarted, and the balancer still sends it clients.
+
+        Refused for its last second whatever they bring, clients with jobs
+        of 60 ms were sent away from workers that stood free.
+        """
+        self.front.ends_at = self.clock.now() + 5_000.0
+        self.assertTrue(self._takes(60.0))
+        self.assertTrue(self._takes(900.0))
+        self.clock.advance(4_000.0)
+        self.assertTrue(self._takes(60.0))
+        self.assertFalse(self._takes(900.0))
+        self.clock.advance(900.0)
+        self.assertFalse(self._takes(60.0))
+
+    def test_at_its_end_it_takes_none(self) -> None:
+        self.front.ends_at = self.clock.now()
+        self.assertFalse(self._takes(1.0))
