--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -12,11 +12,11 @@
 from rosemaryroad.dispatching._dispatcher import JobDispatcher
 from rosemaryroad.dispatching._leadership import CLAIM_TIMEOUT_MS
 from rosemaryroad.dispatching._leadership import Leadership
-from rosemaryroad.dispatching._leadership import LeaseRow
-from rosemaryroad.dispatching._leadership import Role
 from rosemaryroad.dispatching._leadership import TICK_MS
 from rosemaryroad.dispatching._load import DispatcherLoad
 from rosemaryroad.dispatching._load import WorkerCondition
+from rosemaryroad.dispatching._roles import LeaseRow
+from rosemaryroad.dispatching._roles import Role
 
 __all__ = [
     'CLAIM_TIMEOUT_MS',
--- a/rosemaryroad/dispatching/_cells.py
+++ b/rosemaryroad/dispatching/_cells.py
@@ -5,10 +5,8 @@
 
 import attrs
 
-# One dispatcher gives out at 1,650 starts a second with 2.15 cores' worth of
-# processor, which 176 workers of two or three tasks at a time come up to.
-# Fewer, larger cells leave less room unused: at 1.2 times the load that the
-# workers carry, 1, 3, 8 and 16 cells earned 1.000, 0.988, 0.936 and 0.866.
+# One dispatcher's processor carries the starts of some three times as many
+# workers. Fewer, larger cells leave less room unused.
 _WORKERS_IN_A_CELL = 60
 
 
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -10,10 +10,9 @@
 
 import collections.abc
 
-import attrs
-
 from rosemaryroad import model
 from rosemaryroad.dispatching import _pace
+from rosemaryroad.dispatching import _roles
 from rosemaryroad.dispatching import _signs
 from rosemaryroad.dispatching import _strain
 
@@ -57,34 +56,6 @@
 _LOST_CLAIM_MS = 300.0
 
 
-@attrs.frozen
-class LeaseRow:
-    """The row that names the dispatcher.
-
-    Attributes:
-        term: Its term; the fence on its orders.
-        vm: The entry VM.
-    """
-
-    term: int
-    vm: str
-
-
-@attrs.frozen
-class Role:
-    """What this VM does, and whom it hands its jobs to.
-
-    Attributes:
-        claim: Whether it gives orders itself.
-        term: The term of the dispatcher.
-        dispatcher: The VM that it hands its jobs to, or ''.
-    """
-
-    claim: model.Claim
-    term: int
-    dispatcher: str
-
-
 class Leadership:
     """Decides who dispatches, as one VM sees it.
 
@@ -124,7 +95,7 @@
         self._informed_at = now
         self._strain = _strain.Strain()
         self._aside_until = now
-        self._row = LeaseRow(0, '')
+        self._row = _roles.LeaseRow(0, '')
         self._mend_at = now
         self._claimed_at = now
         self._elsewhere = False
@@ -132,9 +103,9 @@
         self._fence = 0
 
     @property
-    def role(self) -> Role:
+    def role(self) -> _roles.Role:
         """What this VM does now."""
-        return Role(self._claim, self._term, self._dispatcher)
+        return _roles.Role(self._claim, self._term, self._dispatcher)
 
     @property
     def fence(self) -> int:
@@ -233,14 +204,13 @@
         known = self._signs.pulse_of(vm)
         self._signs.heard(vm, pulse, now)
         if pulse == known:
-            # Nothing but the time has passed, which the next tick takes in.
-            # In groups of 42 VMs a dispatcher hears 340 signs a second, and
-            # a look at all peers costs some 80 us.
+            # Nothing but the time has passed, which the next tick takes in;
+            # in large groups a look at all peers for each sign is dear.
             return
         self._fence = max(self._fence, pulse.fence)
         self._evaluate(now)
 
-    def row_read(self, row: LeaseRow, now: float) -> None:
+    def row_read(self, row: _roles.LeaseRow, now: float) -> None:
         """Takes in what the row says."""
         if row.term > self._row.term:
             self._row = row
@@ -293,7 +263,7 @@
             self._aside_until = now + _ASIDE_MS
         self._evaluate(now)
 
-    def wants_claim(self, now: float) -> LeaseRow | None:
+    def wants_claim(self, now: float) -> _roles.LeaseRow | None:
         """Returns the row to claim, where this VM should dispatch.
 
         The caller writes it under the condition that the row has not
@@ -303,11 +273,13 @@
             return None
         wanted = self._row_to_mend(now)
         if wanted is None and self._should_claim(now):
-            wanted = LeaseRow(max(self.fence, self._row.term) + 1, self._vm)
+            wanted = _roles.LeaseRow(
+                max(self.fence, self._row.term) + 1, self._vm
+            )
         self._claiming = wanted is not None
         return wanted
 
-    def claim_won(self, row: LeaseRow, now: float) -> None:
+    def claim_won(self, row: _roles.LeaseRow, now: float) -> None:
         """Takes in that the row names this VM, or that none can be read."""
         self._claiming = False
         self._mend_at = now + _MEND_AGAIN_MS
@@ -321,7 +293,7 @@
         self._term = row.term
         self._evaluate(now)
 
-    def claim_lost(self, row: LeaseRow, now: float) -> None:
+    def claim_lost(self, row: _roles.LeaseRow, now: float) -> None:
         """Takes in that the row has another content."""
         self._claiming = False
         self._wait_until = now + _LOST_CLAIM_MS
@@ -358,13 +330,13 @@
             for pulse in self._signs.fresh(now).values()
         )
 
-    def _row_to_mend(self, now: float) -> LeaseRow | None:
+    def _row_to_mend(self, now: float) -> _roles.LeaseRow | None:
         """Returns the row as it should be, where it lags behind this VM."""
         if self._claim is not model.Claim.DISPATCHER or now < self._mend_at:
             return None
         if self._row.term >= self._term:
             return None
-        return LeaseRow(self._term, self._vm)
+        return _roles.LeaseRow(self._term, self._vm)
 
     def _silence_ms(self, vm: str) -> float:
         # A home that has lost its dispatcher hands its jobs to another one.
@@ -383,7 +355,7 @@
         for vm, pulse in self._signs.claiming(now).items():
             if pulse.leaving:
                 continue
-            rank = _rank(pulse.claim, pulse.term, vm)
+            rank = _roles.rank(pulse.claim, pulse.term, vm)
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
         return best
@@ -394,8 +366,8 @@
             self._claim = model.Claim.NONE
         if best is not None:
             pulse = self._signs.pulse_of(best)
-            theirs = _rank(pulse.claim, pulse.term, best)
-            ours = _rank(self._claim, self._term, self._vm)
+            theirs = _roles.rank(pulse.claim, pulse.term, best)
+            ours = _roles.rank(self._claim, self._term, self._vm)
             if self._claim is model.Claim.NONE or theirs < ours:
                 self._claim = model.Claim.NONE
                 self._term = pulse.term
@@ -522,11 +494,11 @@
 
     def _is_first(self, others: dict[str, model.Pulse]) -> bool:
         """Tells whether this VM comes before others that could act."""
-        ours = _preference(self._vm, self.pulse())
+        ours = _roles.preference(self._vm, self.pulse())
         return not any(
             pulse.informed
             and not pulse.strained
-            and _preference(vm, pulse) < ours
+            and _roles.preference(vm, pulse) < ours
             for vm, pulse in others.items()
         )
 
@@ -551,21 +523,3 @@
         if self._lost and now - self._lost_at < patience:
             return False
         return self._is_first(without)
-
-
-def _rank(claim: model.Claim, term: int, vm: str) -> tuple[int, int, str]:
-    """Returns what the best of several dispatchers has the lowest of."""
-    return -int(claim), -term, vm
-
-
-def _preference(
-    vm: str, pulse: model.Pulse
-) -> tuple[bool, bool, float, int, str]:
-    """Returns what the VM that should act first has the lowest of."""
-    return (
-        not pulse.settled,
-        pulse.elsewhere,
-        -pulse.cores,
-        -pulse.started,
-        vm,
-    )
--- a/rosemaryroad/dispatching/_placement.py
+++ b/rosemaryroad/dispatching/_placement.py
@@ -40,8 +40,8 @@
 class Candidates:
     """The workers that a job's tasks may go to, the best one first.
 
-    They are ranked once for all tasks of a job: with 176 workers, a look at
-    each of them for each task took 0.3 ms of processor time a job.
+    They are ranked once for all tasks of a job; a look at each worker for
+    each task would be the most of a large dispatcher's work.
 
     Args:
         workers: Those that may be used now.
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -10,7 +10,7 @@
 from rosemaryroad.dispatching import _state
 
 # A job is given up for its deadline only where even a run shorter than
-# expected would miss it: run times spread by 0.4 in the logarithm.
+# expected would miss it, since run times spread widely.
 _OPTIMISM = 0.7
 
 # A job of which nothing has started by then is refused while its client
@@ -40,9 +40,8 @@
 
     After each look at all, nothing that waits fits anywhere. Until the next
     one, only jobs that have come to wait may find room, and only workers
-    that have got room may have some. Looking at all for each answer of 176
-    workers took 1.7 ms of processor time a job, or 8.8 ms at 1.5 times the
-    load: more than there is.
+    that have got room may have some. A look at all for each answer of a
+    large deployment's workers takes more processor time than there is.
     """
     changes = context.take_changes()
     if context.expecting:
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -1,6 +1,5 @@
 """Which entry VMs there are, who dispatches, and what they tell."""
 
-import abc
 import collections.abc
 import logging
 import random
@@ -14,6 +13,7 @@
 from rosemaryroad import peers
 from rosemaryroad import platform
 from rosemaryroad.jobserver import _election
+from rosemaryroad.jobserver import _handler
 from rosemaryroad.jobserver import _rows
 from rosemaryroad.jobserver import _sharing
 
@@ -68,38 +68,6 @@
         raise errors.InvalidRequest('no sessions are served here')
 
 
-class MembersHandler(abc.ABC):
-    """What follows from what the members tell."""
-
-    @abc.abstractmethod
-    def cells_known(
-        self,
-        cells: dispatching.Cells,
-        leaderships: collections.abc.Sequence[dispatching.Leadership],
-    ) -> None:
-        """The division into cells is known; it stays as it is."""
-
-    @abc.abstractmethod
-    def role_changed(self, cell: int, role: dispatching.Role) -> None:
-        """Another VM dispatches a cell, or this one does."""
-
-    @abc.abstractmethod
-    def job_message(self, vm: str, message: model.JobMessage) -> None:
-        """A VM tells something about a job."""
-
-    @abc.abstractmethod
-    def peer_lost(self, vm: str) -> None:
-        """A VM can't be reached."""
-
-    @abc.abstractmethod
-    def queues_shared(self, table: model.QueueTable) -> None:
-        """A VM knows a version of the queues."""
-
-    @abc.abstractmethod
-    def workers_shared(self, workers: tuple[model.Worker, ...]) -> None:
-        """A VM knows the workers, and this one does not."""
-
-
 class Members:
     """Keeps the links, sends signs of life and settles who dispatches.
 
@@ -121,7 +89,7 @@
         make_leadership: collections.abc.Callable[[], dispatching.Leadership],
         links: peers.PeerLinks,
         tables: platform.TableService,
-        handler: MembersHandler,
+        handler: _handler.MembersHandler,
         clock: clock_module.Clock,
         rng: random.Random,
         queue_table: collections.abc.Callable[[], model.QueueTable | None],
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -19,6 +19,7 @@
 from rosemaryroad.jobserver import _dispatching
 from rosemaryroad.jobserver import _following
 from rosemaryroad.jobserver import _front
+from rosemaryroad.jobserver import _handler
 from rosemaryroad.jobserver import _home
 from rosemaryroad.jobserver import _members
 from rosemaryroad.jobserver import _metrics
@@ -63,7 +64,7 @@
 _VMS_WAIT_MS = 10_000.0
 
 
-class JobNode(_members.MembersHandler):
+class JobNode(_handler.MembersHandler):
     """The parts of one daemon.
 
     Args:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,21 +10,13 @@
 from rosemaryroad import cli
 from rosemaryroad import explain
 from rosemaryroad import logreader
+from tests import log_lines
 
 _JOB = 'abcdef0123456789'
 
 
-def _line(second: float, vm: str, event: str, **fields: object) -> str:
-    pairs = ' '.join(
-        f'{key}={json.dumps(value) if " " in str(value) else value}'
-        for key, value in fields.items()
-    )
-    stamp = f'2026-03-04T10:00:{second:06.3f}Z'
-    return f'time={stamp} level=info entry_vm={vm} event={event} {pairs}\n'
-
-
 def _of_job(second: float, vm: str, event: str, **fields: object) -> str:
-    return _line(second, vm, event, request_id=_JOB, **fields)
+    return log_lines.line(second, vm, event, request_id=_JOB, **fields)
 
 
 def _whole() -> list[str]:
@@ -89,9 +81,15 @@
     def test_the_first_fault_is_the_worker(self) -> None:
         """A task's worker falls silent; its job is answered too late."""
         lines = _whole()[:3] + [
-            _line(1.5, 'e2', 'worker_silent', subject='w1', detail='timeout'),
-            _line(1.5, 'e2', 'worker_silent', subject='w9', detail='timeout'),
-            _line(2.6, 'e2', 'attempts_lost', subject='w1', detail='lapsed'),
+            log_lines.line(
+                1.5, 'e2', 'worker_silent', subject='w1', detail='timeout'
+            ),
+            log_lines.line(
+                1.5, 'e2', 'worker_silent', subject='w9', detail='timeout'
+            ),
+            log_lines.line(
+                2.6, 'e2', 'attempts_lost', subject='w1', detail='lapsed'
+            ),
             _of_job(3.0, 'e1', 'job_answered', end='given_up', took_ms=2000.0),
         ]
         found = self._explain(lines)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -10,19 +10,11 @@
 from rosemaryroad import cli
 from rosemaryroad import logreader
 from rosemaryroad import losses
+from tests import log_lines
 
 _JOB = 'abcdef0123456789'
 
 
-def _line(second: float, vm: str, event: str, **fields: object) -> str:
-    pairs = ' '.join(
-        f'{key}={json.dumps(value) if " " in str(value) else value}'
-        for key, value in fields.items()
-    )
-    stamp = f'2026-03-04T10:00:{second:06.3f}Z'
-    return f'time={stamp} level=info entry_vm={vm} event={event} {pairs}\n'
-
-
 class _Lines:
     """The lines of one job whose objective is 380 ms."""
 
@@ -34,7 +26,7 @@
     def add(
         self, after: float, event: str, vm: str = 'e1', **fields: object
     ) -> '_Lines':
-        line = _line(
+        line = log_lines.line(
             self._at + after, vm, event, request_id=self._job, **fields
         )
         self.lines.append(line)
@@ -116,7 +108,10 @@
     ),
     (
         losses.Cause.HOME_LOST,
-        [*_begun().lines, _line(3.0, 'e1', 'started', failure_domain='z')],
+        [
+            *_begun().lines,
+            log_lines.line(3.0, 'e1', 'started', failure_domain='z'),
+        ],
     ),
     (
         losses.Cause.CLIENT_LEFT,
@@ -228,7 +223,7 @@
     """Lost jobs are told apart by what they have in common."""
 
     def setUp(self) -> None:
-        lines = [_line(0.0, 'e1', 'started', failure_domain='zilina')]
+        lines = [log_lines.line(0.0, 'e1', 'started', failure_domain='zilina')]
         for number in range(20):
             job = _Lines(f'{number:016x}', 1.0 + 0.1 * number)
             job.received(queue='ab'[number % 2], tasks=1 + number)
