--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -52,6 +52,7 @@
 _WORKERS = strategies.builds(
     model.Worker, capacity=strategies.builds(model.Needs, _MS, _COUNT, _COUNT)
 )
+_VMS = strategies.builds(model.EntryVm, cores=_MS)
 _MESSAGES = (
     strategies.builds(model.Hello)
     | strategies.builds(
@@ -88,6 +89,7 @@
     | strategies.builds(
         model.DirectoryShared,
         strategies.lists(_WORKERS, max_size=2).map(tuple),
+        strategies.lists(_VMS, max_size=2).map(tuple),
     )
     | strategies.builds(model.JobProgress)
     | strategies.builds(model.JobSettled, retry_after_ms=_MS)
