Work out a job's objective in one place

The objective and the time for which an answer is of use stood in the queue's order, at the front and in the report on lost jobs, the factor of three twice; the terms of a queue tell both now. The report keeps those terms, not their parts, and no longer four fields that nobody read; the played service loses one. Behaviour is kept.

--- a/rosemaryroad/dispatching/_waiting.py
+++ b/rosemaryroad/dispatching/_waiting.py
@@ -10,10 +10,6 @@
 
 _RANK = operator.attrgetter('rank')
 
-# An answer is of some use to its caller up to so many times its objective,
-# as the users' sheets weigh it.
-_OF_USE_FACTOR = 3.0
-
 # Late jobs are few while all workers together could run them within this.
 _FEW_LATE_MS = 100.0
 
@@ -86,10 +82,9 @@
     def _judge(self, state: _state.JobState, now: float) -> None:
         job = state.job
         expected = self._run_times.expected_ms(job.queue, job.estimate_ms)
-        objective = job.terms.slack_factor * expected + job.terms.target_ms
         state.expected_ms = expected
-        state.due = state.arrived + objective
-        state.of_use_until = state.arrived + _OF_USE_FACTOR * objective
+        state.due = state.arrived + job.terms.objective_ms(expected)
+        state.of_use_until = state.arrived + job.terms.of_use_ms(expected)
         if now + expected <= state.due:
             state.lateness = _state.Lateness.IN_TIME
         elif now + expected <= state.of_use_until:
--- a/rosemaryroad/jobserver/_front.py
+++ b/rosemaryroad/jobserver/_front.py
@@ -53,8 +53,7 @@
         """Tells whether a job may end here before the daemon has to."""
         if self.ends_at is None:
             return True
-        terms = job.terms
-        objective_ms = terms.slack_factor * job.estimate_ms + terms.target_ms
+        objective_ms = job.terms.objective_ms(job.estimate_ms)
         needed_ms = min(objective_ms, _LAST_JOBS_MS)
         return self._clock.now() + needed_ms < self.ends_at
 
--- a/rosemaryroad/losses/_report.py
+++ b/rosemaryroad/losses/_report.py
@@ -15,9 +15,6 @@
 _EXAMPLES = 3
 _TENTHS = 10
 
-# An answer is of some use to its caller up to so many times its objective.
-_OF_USE = 3.0
-
 # What a job of no work is worth beside one of its queue's mean work, and up
 # to how many times as much a large one, as the users weigh them.
 _BASE_WORTH = 0.3
@@ -163,7 +160,7 @@
 
 def _is_served(story: _stories.JobStory) -> bool:
     return story.is_completed and (
-        story.took_ms <= _OF_USE * story.objective_ms
+        story.took_ms <= story.terms.of_use_ms(story.run_ms)
     )
 
 
--- a/rosemaryroad/losses/_stories.py
+++ b/rosemaryroad/losses/_stories.py
@@ -6,6 +6,7 @@
 import attrs
 
 from rosemaryroad import logreader
+from rosemaryroad import model
 
 _DONE = 'done'
 _COMPLETED = 'completed'
@@ -31,14 +32,10 @@
     """A task was told to start.
 
     Attributes:
-        at_ms: When.
-        task: Its number.
         attempt: Which attempt.
         waited_ms: How long the job had been here.
     """
 
-    at_ms: float
-    task: int
     attempt: int
     waited_ms: float
 
@@ -48,14 +45,10 @@
     """A worker listed the end of an attempt.
 
     Attributes:
-        task: The task's number.
-        attempt: Which attempt.
         how: How it ended.
         ran_ms: How long it ran, or None where that isn't known.
     """
 
-    task: int
-    attempt: int
     how: str
     ran_ms: float | None
 
@@ -72,8 +65,7 @@
         tasks: How many tasks it has.
         cores: What each of them wants.
         estimate_ms: What the client thinks that one takes.
-        slack: By how many times its run it may take in time.
-        target_ms: How long it may take beyond that.
+        terms: What its queue promises.
         homes: All VMs that it came to.
         handovers: How it went to dispatchers.
         orders: What was told to start.
@@ -97,8 +89,7 @@
     tasks: int = 0
     cores: float = 0.0
     estimate_ms: float = 0.0
-    slack: float = 1.0
-    target_ms: float = 0.0
+    terms: model.JobTerms = model.JobTerms()
     homes: list[str] = attrs.field(factory=list)
     handovers: list[Handover] = attrs.field(factory=list)
     orders: list[Order] = attrs.field(factory=list)
@@ -126,7 +117,7 @@
     @property
     def objective_ms(self) -> float:
         """Within how long an answer is in time."""
-        return self.slack * self.run_ms + self.target_ms
+        return self.terms.objective_ms(self.run_ms)
 
     @property
     def work(self) -> float:
@@ -223,8 +214,10 @@
     story.tasks = int(_number(line, 'tasks'))
     story.cores = _number(line, 'cores')
     story.estimate_ms = _number(line, 'estimate_ms')
-    story.slack = _number(line, 'slack') or 1.0
-    story.target_ms = _number(line, 'target_ms')
+    story.terms = model.JobTerms(
+        slack_factor=_number(line, 'slack') or 1.0,
+        target_ms=_number(line, 'target_ms'),
+    )
 
 
 def _refused(story: JobStory, line: logreader.LogLine) -> None:
@@ -247,8 +240,6 @@
 def _ordered(story: JobStory, line: logreader.LogLine) -> None:
     story.orders.append(
         Order(
-            line.time_ms,
-            int(_number(line, 'task')),
             int(_number(line, 'attempt')),
             _number(line, 'waited_ms'),
         )
@@ -259,8 +250,6 @@
     ran_ms = _number(line, 'ran_ms') if 'ran_ms' in line.fields else None
     story.ends.append(
         End(
-            int(_number(line, 'task')),
-            int(_number(line, 'attempt')),
             line.fields.get('end', ''),
             ran_ms,
         )
--- a/rosemaryroad/model/_jobs.py
+++ b/rosemaryroad/model/_jobs.py
@@ -6,6 +6,10 @@
 
 from rosemaryroad.model import _work
 
+# An answer is of some use to its caller up to so many times its objective,
+# as the users' sheets weigh it.
+_OF_USE_FACTOR = 3.0
+
 
 @attrs.frozen
 class JobTerms:
@@ -23,6 +27,18 @@
     target_ms: float = 0.0
     max_attempts: int = 1
 
+    def objective_ms(self, run_ms: float) -> float:
+        """Returns within how long an answer is in time.
+
+        Args:
+            run_ms: What the longest task takes.
+        """
+        return self.slack_factor * run_ms + self.target_ms
+
+    def of_use_ms(self, run_ms: float) -> float:
+        """Returns within how long an answer is of some use."""
+        return _OF_USE_FACTOR * self.objective_ms(run_ms)
+
 
 @attrs.frozen
 class Job:
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -138,7 +138,6 @@
 @attrs.define(eq=False)
 class _Vm:
     name: str
-    domain: str
     leadership: dispatching.Leadership
     home: jobserver.JobHome
     tick_at: float
@@ -187,7 +186,7 @@
                 )
                 self.worker_by_id[worker.id] = _Worker(worker, run_ms)
             for number in (1, 2):
-                self._add_vm(f'{letter}{number}', letter)
+                self._add_vm(f'{letter}{number}')
         known = dict.fromkeys(self.vm_by_name, 1.0)
         for vm in self.vm_by_name.values():
             vm.leadership.peers_known(known)
@@ -285,7 +284,7 @@
     def _everybody(self) -> set[str]:
         return set(self.vm_by_name) | set(self.worker_by_id) | {STORE}
 
-    def _add_vm(self, name: str, domain: str) -> None:
+    def _add_vm(self, name: str) -> None:
         leadership = dispatching.Leadership(name, self.now, 1.0, 1)
 
         def send(receiver: str, message: model.JobMessage) -> bool:
@@ -294,7 +293,7 @@
         home = jobserver.JobHome(name, self.clock, send)
         home.divide(dispatching.Cells())
         self.vm_by_name[name] = _Vm(
-            name, domain, leadership, home, self.now, leadership.role
+            name, leadership, home, self.now, leadership.role
         )
 
     def _at(self, when: float, what, *arguments) -> None:
