--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -152,7 +152,7 @@
 
 
 class PlayedService:
-    """Domains of two entry VMs and some workers each.
+    """Domains of some entry VMs and workers each.
 
     Attributes:
         doubled: Tasks that ran twice at the same time.
@@ -162,10 +162,15 @@
         domains: How many failure domains there are.
         workers: How many workers each of them has.
         run_ms: How long a task takes.
+        vms: How many entry VMs each domain has.
     """
 
     def __init__(
-        self, domains: int = 3, workers: int = 4, run_ms: float = 900.0
+        self,
+        domains: int = 3,
+        workers: int = 4,
+        run_ms: float = 900.0,
+        vms: int = 2,
     ) -> None:
         self.clock = clock_module.ManualClock(100_000.0)
         self.doubled: list[Doubled] = []
@@ -173,6 +178,7 @@
         self._events: list = []
         self._numbers = itertools.count()
         self._blocked: set[tuple[str, str]] = set()
+        self._deaf: set[str] = set()
         self._row = dispatching.LeaseRow(0, '')
         self._relink_at = 0.0
         self.vm_by_name: dict[str, _Vm] = {}
@@ -185,7 +191,7 @@
                     failure_domain=letter,
                 )
                 self.worker_by_id[worker.id] = _Worker(worker, run_ms)
-            for number in (1, 2):
+            for number in range(1, vms + 1):
                 self._add_vm(f'{letter}{number}')
         known = dict.fromkeys(self.vm_by_name, 1.0)
         for vm in self.vm_by_name.values():
@@ -227,9 +233,14 @@
         self.block(names, others)
         self.block(others, names)
 
+    def deafen(self, workers: set[str]) -> None:
+        """Loses all orders to some workers; they tell what they run."""
+        self._deaf |= workers
+
     def heal(self) -> None:
         """Lets everything through again."""
         self._blocked.clear()
+        self._deaf.clear()
 
     def freeze(self, vm: str, ms: float) -> None:
         """Stops a VM for a while; what reaches it meanwhile waits."""
@@ -464,6 +475,11 @@
 
     # Orders.
 
+    def _takes_order(self, vm: _Vm, worker_id: str) -> bool:
+        return (
+            self._reaches(vm.name, worker_id) and worker_id not in self._deaf
+        )
+
     def _carry_out(self, vm: _Vm, actions: list[dispatching.Action]) -> None:
         for action in actions:
             if isinstance(action, dispatching.TellHome):
@@ -484,7 +500,7 @@
         dispatcher.held(order.worker, self.now)
         fence = vm.leadership.fence
         result = model.OrderResult.UNKNOWN
-        if self._reaches(vm.name, order.worker):
+        if self._takes_order(vm, order.worker):
             worker = self.worker_by_id[order.worker]
             worker.settle(self.now)
             result = worker.start(order, vm.name, fence, self.now)
@@ -509,7 +525,7 @@
 
     def _stop(self, vm: _Vm, order: dispatching.StopTask) -> None:
         result = model.OrderResult.UNKNOWN
-        if self._reaches(vm.name, order.worker):
+        if self._takes_order(vm, order.worker):
             worker = self.worker_by_id[order.worker]
             worker.settle(self.now)
             worker.stop(order, vm.leadership.fence)
--- a/tests/dispatching/test_who_starts.py
+++ b/tests/dispatching/test_who_starts.py
@@ -17,6 +17,13 @@
 # with more, they start as soon as they may.
 _WORKERS = (2, 4)
 
+# Tasks that outlive a lease, and both sizes of groups: signs of life are rarer
+# in the larger one.
+_LONG_RUN_MS = 3_200.0
+_VMS = (2, 5)
+_LONG_JOBS = 25
+_LONG_JOBS_EVERY_MS = 40.0
+
 # A client whose connection has broken comes again after this long.
 _COME_AGAIN_MS = 1_300.0
 
@@ -233,3 +240,87 @@
                     service.submit(elsewhere, f'other-{number}')
                 await service.run(3_000.0)
                 self.assertEqual([], service.doubled)
+
+
+def _part_vms(service, names: set[str]) -> None:
+    """Lets some entry VMs hear no others; all hear the workers."""
+    others = set(service.vm_by_name) - names
+    service.block(names, others)
+    service.block(others, names)
+
+
+class LongTasksTest(unittest.IsolatedAsyncioTestCase):
+    """A task that outlives its lease is prolonged by one VM or none."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+
+    async def _start(self, vms: int) -> played_service.PlayedService:
+        service = played_service.PlayedService(
+            workers=10, run_ms=_LONG_RUN_MS, vms=vms
+        )
+        self.addAsyncCleanup(service.close)
+        await service.run(4_000.0)
+        await self._submit(service, 'first', _LONG_JOBS)
+        return service
+
+    async def _submit(self, service, name: str, count: int) -> None:
+        homes = itertools.cycle(sorted(service.vm_by_name))
+        for number in range(count):
+            service.submit(next(homes), f'{name}-{number}')
+            await service.run(_LONG_JOBS_EVERY_MS)
+
+    async def _end(self, service) -> None:
+        await service.run(3_500.0)
+        service.heal()
+        await service.run(2_000.0)
+        self.assertEqual([], service.doubled)
+        self.assertGreater(service.starts, 2 * _LONG_JOBS)
+
+    async def test_a_cut_beside_long_tasks_doubles_none(self) -> None:
+        """A deputy's question prolongs what the dispatcher takes for lapsed.
+
+        Its caller would find the work done twice, started by one VM.
+        """
+        for fault, vms in itertools.product(
+            (_cut_dispatchers_domain, _cut_a_homes_domain), _VMS
+        ):
+            with self.subTest(fault.__name__, vms=vms):
+                service = await self._start(vms)
+                fault(service, service.dispatcher())
+                await self._submit(service, 'cut', 15)
+                await self._end(service)
+
+    async def test_stops_lost_beside_a_cut_double_no_task(self) -> None:
+        """A successor's orders to stop get lost, and it prolongs the tasks.
+
+        The dispatcher behind the cut takes them for lapsed.
+        """
+        for vms in _VMS:
+            with self.subTest(vms=vms):
+                service = await self._start(vms)
+                service.deafen(set(sorted(service.worker_by_id)[::3]))
+                _cut_dispatchers_domain(service, service.dispatcher())
+                await self._submit(service, 'cut', 15)
+                await self._end(service)
+
+    async def test_a_cut_beside_vms_parted_before_doubles_no_task(
+        self,
+    ) -> None:
+        """Two VMs give orders to the same workers, and one loses some.
+
+        The other one's questions keep the lost one's tasks running.
+        """
+        for vms, are_many in itertools.product(_VMS, (False, True)):
+            with self.subTest(vms=vms, are_many=are_many):
+                service = await self._start(vms)
+                dispatcher = service.dispatcher()
+                home = _home(service, dispatcher)
+                parted = {dispatcher}
+                if are_many:
+                    parted = {n for n in service.vm_by_name if n[0] == home[0]}
+                _part_vms(service, parted)
+                await self._submit(service, 'parted', 50)
+                service.part(service.names_of(home[0]))
+                await self._submit(service, 'cut', 10)
+                await self._end(service)
