--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -193,7 +193,9 @@
             self.note(
                 'attempts_lost',
                 worker.worker.id,
-                f'{len(orders)} attempts: {cause}',
+                f'{len(orders)} attempts: {cause}; held'
+                f' {now - worker.held_at:.0f} ms ago, heard'
+                f' {now - worker.heard_at:.0f} ms ago',
             )
         for order in orders:
             self.remove_order(worker, order)
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -77,6 +77,7 @@
     if worker.taken_up_at is None:
         worker.taken_up_at = now
     worker.silent_since = None
+    worker.heard_at = now
     unanswered_at = worker.unanswered_at
     if unanswered_at is not None and report.asked_at >= unanswered_at:
         worker.unanswered_at = None
@@ -143,14 +144,31 @@
     others = dict(context.orders_by_task.get(row.task, {}))
     context.add_order(worker, order)
     if state is None:
+        _note_found(context, worker, order, 'no home here waits for it')
         return order
     if others or not adopt(state, worker, order):
         # The same task runs or starts elsewhere by our own order, or an
         # older attempt has come back after it was given up.
+        _note_found(context, worker, order, 'a second attempt')
         context.stop(worker, order, 'a second attempt', now)
+        return order
+    _note_found(context, worker, order, 'taken over')
     return order
 
 
+def _note_found(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    order: _state.Order,
+    meaning: str,
+) -> None:
+    context.note(
+        'attempt_found',
+        worker.worker.id,
+        f'{order.task} attempt {order.attempt}: {meaning}',
+    )
+
+
 def adopt(
     state: _state.JobState,
     worker: _state.WorkerState,
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -160,6 +160,7 @@
         listed: Whether the list still names it.
         silent_since: Since when it gives no answer, or None.
         held_at: When a call that prolongs its leases was last sent.
+        heard_at: When it last told what it runs.
         looked_at: When it was last asked out of turn.
         proved_at: When a task there was last seen at an ordinary pace.
         taken_up_at: When it first told what it runs, or None.
@@ -183,6 +184,7 @@
     taken_up_at: float | None = None
     silent_since: float | None = None
     held_at: float = 0.0
+    heard_at: float = 0.0
     looked_at: float = 0.0
     proved_at: float = 0.0
     bad: int = 0
--- a/rosemaryroad/explain.py
+++ b/rosemaryroad/explain.py
@@ -27,6 +27,7 @@
 # Changes of belief that are told for each worker in ``subject``.
 _OF_WORKERS = frozenset(
     {
+        'attempt_found',
         'attempts_lost',
         'worker_heard',
         'worker_leaving',
