--- a/rosemaryroad/dispatching/_checks.py
+++ b/rosemaryroad/dispatching/_checks.py
@@ -3,6 +3,7 @@
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _handover
+from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
 
@@ -15,13 +16,10 @@
     context: _context.Context, worker: _state.WorkerState, now: float
 ) -> None:
     """Does what is due at a worker by the time alone."""
-    if (
-        worker.silent_since is not None
-        and now - worker.held_at > context.limits.lapse_ms
-    ):
+    if _holding.has_lapsed(context, worker, now):
         context.drop_orders(worker, 'silent until the leases lapsed', now)
         return
-    if not context.is_deputy:
+    if not context.is_outvoted:
         _handover.stop_unclaimed(context, worker, now)
     looked = False
     for order in list(worker.orders_by_key.values()):
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -56,7 +56,9 @@
 
     Attributes:
         limits: Figures of the deployment.
-        is_deputy: Whether another dispatcher may be at work.
+        outvoted_since: Since when this VM hears no more than half of all,
+            so that another dispatcher may be at work; None while it hears
+            most.
         run_times: What tasks take.
         waiting: The jobs with waiting tasks, in order.
         jobs_by_id: All jobs that are not settled.
@@ -67,9 +69,11 @@
             leave two results, which one would notice as doubled work.
     """
 
-    def __init__(self, limits: DispatchLimits, is_deputy: bool) -> None:
+    def __init__(
+        self, limits: DispatchLimits, outvoted_since: float | None
+    ) -> None:
         self.limits = limits
-        self.is_deputy = is_deputy
+        self.outvoted_since = outvoted_since
         self.run_times = _run_times.RunTimes()
         self.waiting = _waiting.WaitingJobs(self.run_times)
         self.jobs_by_id: dict[str, _state.JobState] = {}
@@ -232,24 +236,15 @@
             ):
                 worker = self.workers_by_id.get(vm)
                 if worker is not None and order.job is state:
-                    order.job = None
+                    worker.disown(order)
                     self.stop(worker, order, cause, now)
 
     # Workers.
 
-    def must_wait(self, worker: _state.WorkerState, now: float) -> bool:
-        """Tells whether a worker's leases must lapse before it is used.
-
-        A lease covers all that runs on a worker. Prolonged by a deputy,
-        tasks of the dispatcher that it can't hear would run on after that
-        one has taken them for lapsed and started them elsewhere. Those
-        that outlive their leases are prolonged by it.
-        """
-        if not self.is_deputy or worker.taken_up_at is None:
-            return False
-        if now - worker.taken_up_at >= self.limits.lapse_ms:
-            return False
-        return worker.has_foreign
+    @property
+    def is_outvoted(self) -> bool:
+        """Whether another dispatcher may be at work."""
+        return self.outvoted_since is not None
 
     def blame(
         self, worker: _state.WorkerState, now: float, cause: str
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -8,6 +8,7 @@
 from rosemaryroad.dispatching import _checks
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _handover
+from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _load
 from rosemaryroad.dispatching import _queue
 from rosemaryroad.dispatching import _reports
@@ -24,13 +25,13 @@
     Args:
         limits: Figures of the deployment.
         is_deputy: Whether another dispatcher may be at work that can't be
-            heard.
+            heard, from the start on.
     """
 
     def __init__(
         self, limits: _context.DispatchLimits, is_deputy: bool = False
     ) -> None:
-        self._context = _context.Context(limits, is_deputy)
+        self._context = _context.Context(limits, 0.0 if is_deputy else None)
 
     @property
     def worker_ids(self) -> collections.abc.KeysView[str]:
@@ -62,6 +63,16 @@
             return None
         return now - order.at
 
+    def hear_most(self, hears_most: bool, now: float) -> None:
+        """Takes in whether this VM hears most of all VMs."""
+        context = self._context
+        if hears_most is not context.is_outvoted:
+            return
+        context.outvoted_since = None if hears_most else now
+        context.note(
+            'majority_changed', 'dispatcher', f'hears most: {hears_most}'
+        )
+
     # Jobs.
 
     def submit(
@@ -139,7 +150,7 @@
         _queue.fill(context, now)
         return context.take_actions()
 
-    def may_prolong(self, worker_id: str, now: float) -> bool:
+    def may_prolong(self, worker_id: str) -> bool:
         """Tells whether a worker's leases may be prolonged.
 
         Those of one that gives no answer have to lapse: its tasks can't
@@ -148,7 +159,7 @@
         worker = self._context.workers_by_id.get(worker_id)
         if worker is None or worker.silent_since is not None:
             return False
-        return not self._context.must_wait(worker, now)
+        return _holding.may_prolong(self._context, worker)
 
     def is_wanted(self, start: _actions.StartTask) -> bool:
         """Tells whether an order to start still stands."""
@@ -161,7 +172,7 @@
 
     def held(self, worker_id: str, now: float) -> None:
         """Notes that a call which prolongs leases goes out now."""
-        if self.may_prolong(worker_id, now):
+        if self.may_prolong(worker_id):
             self._context.workers_by_id[worker_id].held_at = now
 
     def reported(
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -131,6 +131,10 @@
             and now - self._ticked_at < self._pace.pause_ms
         )
 
+    def hears_most(self, now: float) -> bool:
+        """Tells whether this VM hears more than half of all VMs."""
+        return self._are_most(self._signs.fresh(now))
+
     def pulse(self) -> model.Pulse:
         """Returns the sign of life to send."""
         return model.Pulse(
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -5,6 +5,7 @@
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
+from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _load
 from rosemaryroad.dispatching import _placement
 from rosemaryroad.dispatching import _state
@@ -80,7 +81,7 @@
         if worker.reported
         and not worker.full
         and worker.unanswered_at is None
-        and not context.must_wait(worker, now)
+        and _holding.keeps_tasks(context, worker, now)
     ]
 
 
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -157,6 +157,8 @@
         worker: As it was listed.
         orders_by_key: The attempts that take room there, by task and
             attempt.
+        unclaimed_by_key: Those among them whose jobs have no home here, by
+            task and attempt.
         listed: Whether the list still names it.
         silent_since: Since when it gives no answer, or None.
         held_at: When a call that prolongs its leases was last sent.
@@ -180,6 +182,9 @@
     orders_by_key: dict[tuple[model.TaskId, int], Order] = attrs.field(
         factory=dict
     )
+    unclaimed_by_key: dict[tuple[model.TaskId, int], Order] = attrs.field(
+        factory=dict
+    )
     listed: bool = True
     taken_up_at: float | None = None
     silent_since: float | None = None
@@ -203,32 +208,34 @@
 
     def add(self, order: Order) -> None:
         """Takes the room of an attempt."""
-        self.orders_by_key[order.task, order.attempt] = order
+        key = (order.task, order.attempt)
+        self.orders_by_key[key] = order
+        if order.job is None:
+            self.unclaimed_by_key[key] = order
         self.free_cores -= order.needs.cores
         self.free_memory_mb -= order.needs.memory_mb
         self.free_accelerators -= order.needs.accelerators
 
     def remove(self, order: Order) -> None:
         """Gives the room of an attempt back."""
-        if self.orders_by_key.pop((order.task, order.attempt), None) is None:
+        key = (order.task, order.attempt)
+        self.unclaimed_by_key.pop(key, None)
+        if self.orders_by_key.pop(key, None) is None:
             return
         self.free_cores += order.needs.cores
         self.free_memory_mb += order.needs.memory_mb
         self.free_accelerators += order.needs.accelerators
 
+    def disown(self, order: Order) -> None:
+        """Keeps an attempt whose job is over, or in other hands."""
+        order.job = None
+        self.unclaimed_by_key[order.task, order.attempt] = order
+
     @property
     def reported(self) -> bool:
         """Whether it has told what it runs."""
         return self.taken_up_at is not None
 
-    @property
-    def has_foreign(self) -> bool:
-        """Whether tasks run there that no home here has claimed."""
-        return any(
-            order.job is None and order.phase is OrderPhase.RUNNING
-            for order in self.orders_by_key.values()
-        )
-
     def fits(self, needs: model.Needs) -> bool:
         """Tells whether a task fits into the room that is free."""
         return (
--- a/rosemaryroad/endpoints/_workers.py
+++ b/rosemaryroad/endpoints/_workers.py
@@ -69,8 +69,19 @@
         task: model.TaskId,
         attempt: int,
         payload: str,
+        prolong: bool = True,
     ) -> model.OrderReply:
-        """Starts an attempt, at most once and not after its lease."""
+        """Starts an attempt, at most once and not after its lease.
+
+        Args:
+            worker: The worker.
+            fence: The term of whoever orders.
+            task: Which task.
+            attempt: Which attempt of it.
+            payload: What the task is given.
+            prolong: Whether the leases are prolonged. If not, the attempt
+                runs under those that another VM prolongs.
+        """
 
     @abc.abstractmethod
     async def stop(
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -71,6 +71,7 @@
             self._dispatcher = dispatching.JobDispatcher(
                 self._limits, claim is model.Claim.DEPUTY
             )
+            self._count_votes()
             self.list_workers(self._workers)
             return
         self._dispatcher = None
@@ -112,6 +113,7 @@
         now = self._clock.now()
         if self._dispatcher is None or not self._leadership.may_order(now):
             return
+        self._count_votes()
         self._carry_out(self._dispatcher.tick(now))
 
     def load(self) -> dispatching.DispatcherLoad:
@@ -158,8 +160,7 @@
     def may_prolong(self, worker: str) -> bool:
         """Tells whether a worker's leases may be prolonged."""
         dispatcher = self._dispatcher
-        now = self._clock.now()
-        return dispatcher is not None and dispatcher.may_prolong(worker, now)
+        return dispatcher is not None and dispatcher.may_prolong(worker)
 
     def is_wanted(self, start: dispatching.StartTask) -> bool:
         """Tells whether an order to start still stands."""
@@ -213,6 +214,12 @@
         if self.may_order():
             self._leadership.fenced(fence)
 
+    def _count_votes(self) -> None:
+        now = self._clock.now()
+        is_deputy = self._leadership.role.claim is model.Claim.DEPUTY
+        hears_most = not is_deputy and self._leadership.hears_most(now)
+        self._dispatcher.hear_most(hears_most, now)
+
     # Actions.
 
     def _carry_out(
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -257,10 +257,16 @@
         if not wanted or not self._handler.may_order():
             on_reply(start, model.OrderReply(model.OrderResult.NOT_SENT))
             return
+        prolong = self._handler.may_prolong(self.worker.id)
         self._handler.held(self.worker.id)
         fence = self._handler.fence()
         reply = await self._client.start(
-            self.worker, fence, start.task, start.attempt, start.payload
+            self.worker,
+            fence,
+            start.task,
+            start.attempt,
+            start.payload,
+            prolong,
         )
         if reply.result is model.OrderResult.FENCED:
             self._handler.fenced(self.worker.id)
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -24,6 +24,10 @@
 _ORDER_TIMEOUT_MS = 120.0
 _CONNECT_TIMEOUT_MS = 120.0
 
+# An order to start has to name an end of the leases. One that must not
+# prolong them leaves itself little more than its way.
+_ORDER_WAY_MS = 40.0
+
 # Connections that are used again save a handshake each; a minion sees some
 # eight orders a second, so one that is idle for longer isn't needed.
 _IDLE_S = 15.0
@@ -78,7 +82,7 @@
             'last_seen': acknowledged,
             'wait_ms': int(wait_ms),
         }
-        lease_end = self._lease_end(worker)
+        lease_end = self._lease_end(worker, self._lease_ms)
         if prolong and lease_end is not None:
             # A time on the minion's clock, and of the leases, not of work.
             body['deadline_ms'] = lease_end
@@ -104,14 +108,16 @@
         task: model.TaskId,
         attempt: int,
         payload: str,
+        prolong: bool = True,
     ) -> model.OrderReply:
         """Starts an attempt; see the base class."""
+        lease_ms = self._lease_ms if prolong else _ORDER_WAY_MS
         body = {
             'task': _task_name(task),
             'attempt': attempt,
             'spec': payload,
             # An order that is carried out seconds later is refused by it.
-            'deadline_ms': self._lease_end(worker) or 0,
+            'deadline_ms': self._lease_end(worker, lease_ms) or 0,
             'fence': fence,
         }
         return await self._order(worker, '/api/run-start', body)
@@ -140,11 +146,11 @@
         if self._session is not None:
             await self._session.close()
 
-    def _lease_end(self, worker: model.Worker) -> int | None:
+    def _lease_end(self, worker: model.Worker, lease_ms: float) -> int | None:
         offset = self._offset_by_worker.get(worker.id)
         if offset is None:
             return None
-        return int(self._clock.now() + offset + self._lease_ms)
+        return int(self._clock.now() + offset + lease_ms)
 
     async def _order(
         self, worker: model.Worker, path: str, body: dict[str, typing.Any]
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -25,6 +25,7 @@
 _HOLD_WAIT_MS = 100.0
 _RELINK_MS = 100.0
 _LEASE_MS = 1_000.0
+_ORDER_WAY_MS = 40.0
 _LONG_MS = 3_600_000.0
 _LIMITS = dispatching.DispatchLimits(lease_ms=_LEASE_MS)
 
@@ -79,6 +80,7 @@
         order: dispatching.StartTask,
         starter: str,
         fence: int,
+        lease_ms: float,
         now: float,
     ) -> model.OrderResult:
         """Carries out an order to start."""
@@ -89,7 +91,7 @@
         if order.attempt <= self._highest.get(order.task, 0):
             return model.OrderResult.STALE_ATTEMPT
         self._highest[order.task] = order.attempt
-        self._lease_end = max(self._lease_end, now + _LEASE_MS)
+        self._lease_end = max(self._lease_end, now + lease_ms)
         self.runs[key] = _Run(starter, now, now + self._run_ms)
         return model.OrderResult.DONE
 
@@ -360,11 +362,17 @@
         self._claim(vm)
         self._check_role(vm)
         if vm.dispatcher is not None and vm.leadership.may_order(self.now):
+            self._count_votes(vm)
             self._carry_out(vm, vm.dispatcher.tick(self.now))
             self._hold_all(vm)
         vm.home.hand_again()
         self._pulse_if_due(vm)
 
+    def _count_votes(self, vm: _Vm) -> None:
+        is_deputy = vm.role.claim is model.Claim.DEPUTY
+        hears_most = not is_deputy and vm.leadership.hears_most(self.now)
+        vm.dispatcher.hear_most(hears_most, self.now)
+
     def _claim(self, vm: _Vm) -> None:
         wanted = vm.leadership.wants_claim(self.now)
         if wanted is None:
@@ -497,13 +505,15 @@
         if not wanted or not vm.leadership.may_order(self.now):
             self._reply(vm, dispatcher, order, model.OrderResult.NOT_SENT)
             return
+        prolong = dispatcher.may_prolong(order.worker)
         dispatcher.held(order.worker, self.now)
         fence = vm.leadership.fence
+        lease_ms = _LEASE_MS if prolong else _ORDER_WAY_MS
         result = model.OrderResult.UNKNOWN
         if self._takes_order(vm, order.worker):
             worker = self.worker_by_id[order.worker]
             worker.settle(self.now)
-            result = worker.start(order, vm.name, fence, self.now)
+            result = worker.start(order, vm.name, fence, lease_ms, self.now)
             if result is model.OrderResult.DONE:
                 self._note_start(order, vm.name)
         self._answer(vm, dispatcher, order, result)
@@ -566,7 +576,7 @@
         held = vm.held_by_worker[worker_id]
         if dispatcher is None or not vm.leadership.may_order(self.now):
             return
-        prolong = dispatcher.may_prolong(worker_id, self.now)
+        prolong = dispatcher.may_prolong(worker_id)
         dispatcher.held(worker_id, self.now)
         report = None
         if self._reaches(vm.name, worker_id):
--- /dev/null
+++ b/tests/dispatching/test_holding.py
@@ -0,0 +1,94 @@
+"""Tests of who prolongs a worker's leases, and who takes them for lapsed."""
+
+from rosemaryroad import dispatching
+from rosemaryroad import model
+from tests.dispatching import case
+
+
+class HoldingTest(case.DispatcherCase):
+    """Leases cover all that runs on a worker, whoever ordered it."""
+
+    def _foreign(self, job: str = 'theirs') -> dispatching.StartTask:
+        return dispatching.StartTask(
+            'w1', '', model.TaskId(job, 0), 1, '', 0.0
+        )
+
+    def _lose_majority(self) -> None:
+        self.dispatcher.hear_most(False, self.now)
+
+    def _run_one(self) -> dispatching.StartTask:
+        self.submit(case.make_job('ours', estimate_ms=5_000.0), 60_000.0)
+        [start] = self.starts()
+        self.answer(start)
+        return start
+
+    def _go_silent(self, ms: float) -> None:
+        self.take(self.dispatcher.silent('w1', 'cut off', self.now))
+        self.pass_time(ms)
+
+    def test_a_first_question_prolongs_nothing(self) -> None:
+        """What another dispatcher takes for lapsed would run on."""
+        self.list_workers(case.make_worker('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.report('w1')
+        self.assertTrue(self.dispatcher.may_prolong('w1'))
+
+    def test_found_attempts_are_not_prolonged_until_they_are_gone(
+        self,
+    ) -> None:
+        """An order to stop what nobody claims gets lost."""
+        self.list_workers(case.make_worker('w1'))
+        foreign = self._foreign()
+        self.report('w1', running=((foreign, 10.0),))
+        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.pass_time(300)
+        stops = self.stops()
+        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.answer(stops[0])
+        self.assertTrue(self.dispatcher.may_prolong('w1'))
+
+    def test_attempts_that_were_given_up_are_not_prolonged(self) -> None:
+        """A home is lost, and another dispatcher starts its tasks anew."""
+        self.add_workers('w1')
+        start = self._run_one()
+        self.take(self.dispatcher.home_lost(case.HOME, self.now))
+        self.report('w1', running=((start, 10.0),))
+        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        [stop] = self.stops()
+        self.answer(stop)
+        self.assertTrue(self.dispatcher.may_prolong('w1'))
+
+    def test_most_prolong_what_a_deputy_starts_later(self) -> None:
+        """A deputy's tasks beside ours must not keep ours from being held."""
+        self.add_workers('w1')
+        start = self._run_one()
+        self.now += 100
+        running = ((start, 10.0), (self._foreign(), 10.0))
+        self.report('w1', running=running)
+        self.assertTrue(self.dispatcher.may_prolong('w1'))
+        self._lose_majority()
+        self.assertFalse(self.dispatcher.may_prolong('w1'))
+
+    def test_without_most_nothing_lapses_that_others_may_prolong(
+        self,
+    ) -> None:
+        """Parted from other VMs, then from a worker that they reach."""
+        self.add_workers('w1', 'w2')
+        start = self._run_one()
+        self._lose_majority()
+        self.now += 10
+        self.report('w1', running=((start, 5.0),))
+        self._go_silent(3_000)
+        self.assertEqual([], self.starts())
+        self.dispatcher.hear_most(True, self.now)
+        self.pass_time(30)
+        self.assertEqual(1, len(self.starts()))
+
+    def test_without_most_what_was_lost_before_lapses(self) -> None:
+        """A cut takes the worker and the other VMs away at once."""
+        self.add_workers('w1', 'w2')
+        self._run_one()
+        self.now += 240
+        self._lose_majority()
+        self._go_silent(900)
+        self.assertEqual(1, len(self.starts()))
--- a/tests/platform_adapter/test_minions.py
+++ b/tests/platform_adapter/test_minions.py
@@ -85,6 +85,19 @@
         """An order whose lease can't be told from the past is refused."""
         self.assertIs(_Result.TOO_LATE, await self._start())
 
+    async def test_a_start_that_must_not_prolong_leaves_leases_as_they_are(
+        self,
+    ) -> None:
+        """Tasks of a dispatcher that can't be heard must not run on by it."""
+        await self._hold()
+        await self._hold()
+        ends = self.minion.lease_ends
+        reply = await self.client.start(
+            self.worker, 1, _TASK, 1, 'payload', prolong=False
+        )
+        self.assertIs(_Result.DONE, reply.result)
+        self.assertEqual(ends, self.minion.lease_ends)
+
     async def test_another_life_answers(self) -> None:
         """A minion crashed, and a new one listens at its address."""
         await self._hold()
