--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -56,9 +56,9 @@
 
     Attributes:
         limits: Figures of the deployment.
-        outvoted_since: Since when this VM hears no more than half of all,
-            so that another dispatcher may be at work; None while it hears
-            most.
+        outvoted_since: Since when no more than half of all VMs follow this
+            one, so that another dispatcher may be at work; None while most
+            do.
         run_times: What tasks take.
         waiting: The jobs with waiting tasks, in order.
         jobs_by_id: All jobs that are not settled.
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -63,14 +63,14 @@
             return None
         return now - order.at
 
-    def hear_most(self, hears_most: bool, now: float) -> None:
-        """Takes in whether this VM hears most of all VMs."""
+    def lead_most(self, leads_most: bool, now: float) -> None:
+        """Takes in whether most of all VMs follow this one."""
         context = self._context
-        if hears_most is not context.is_outvoted:
+        if leads_most is not context.is_outvoted:
             return
-        context.outvoted_since = None if hears_most else now
+        context.outvoted_since = None if leads_most else now
         context.note(
-            'majority_changed', 'dispatcher', f'hears most: {hears_most}'
+            'majority_changed', 'dispatcher', f'leads most: {leads_most}'
         )
 
     # Jobs.
--- a/rosemaryroad/dispatching/_holding.py
+++ b/rosemaryroad/dispatching/_holding.py
@@ -6,7 +6,7 @@
 dispatcher prolongs the same worker's leases meanwhile; callers would find
 their work done twice. So between two that don't hear each other
 
-- the one that hears most VMs prolongs what it likes, but for attempts that it
+- the one that most VMs follow prolongs what it likes, but for attempts that it
   has found or given up and that aren't known to be gone;
 - the other one prolongs no worker that runs an attempt which none of its homes
   waits for, and infers nothing from the silence of a worker that both may have
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -131,9 +131,18 @@
             and now - self._ticked_at < self._pace.pause_ms
         )
 
-    def hears_most(self, now: float) -> bool:
-        """Tells whether this VM hears more than half of all VMs."""
-        return self._are_most(self._signs.fresh(now))
+    def leads_most(self, now: float) -> bool:
+        """Tells whether more than half of all VMs follow this one.
+
+        Two dispatchers that don't hear each other may both hear most VMs,
+        through some that hear both; these follow one of them.
+        """
+        followers = {
+            vm: pulse
+            for vm, pulse in self._signs.fresh(now).items()
+            if pulse.dispatcher == self._vm
+        }
+        return self._are_most(followers)
 
     def pulse(self) -> model.Pulse:
         """Returns the sign of life to send."""
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -217,8 +217,8 @@
     def _count_votes(self) -> None:
         now = self._clock.now()
         is_deputy = self._leadership.role.claim is model.Claim.DEPUTY
-        hears_most = not is_deputy and self._leadership.hears_most(now)
-        self._dispatcher.hear_most(hears_most, now)
+        leads_most = not is_deputy and self._leadership.leads_most(now)
+        self._dispatcher.lead_most(leads_most, now)
 
     # Actions.
 
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -218,6 +218,14 @@
         )
         return counts.most_common(1)[0][0]
 
+    def dispatchers(self) -> list[str]:
+        """Returns the VMs that give orders."""
+        return sorted(
+            vm.name
+            for vm in self.vm_by_name.values()
+            if vm.role.claim is not model.Claim.NONE
+        )
+
     # Faults.
 
     def block(self, senders: set[str], receivers: set[str]) -> None:
@@ -229,6 +237,11 @@
             if one != other
         }
 
+    def let_through(self, names: set[str], others: set[str]) -> None:
+        """Lets everything through again between some and others."""
+        self._blocked -= set(itertools.product(names, others))
+        self._blocked -= set(itertools.product(others, names))
+
     def part(self, names: set[str]) -> None:
         """Cuts some off from all others, the store among them."""
         others = self._everybody() - names
@@ -370,8 +383,8 @@
 
     def _count_votes(self, vm: _Vm) -> None:
         is_deputy = vm.role.claim is model.Claim.DEPUTY
-        hears_most = not is_deputy and vm.leadership.hears_most(self.now)
-        vm.dispatcher.hear_most(hears_most, self.now)
+        leads_most = not is_deputy and vm.leadership.leads_most(self.now)
+        vm.dispatcher.lead_most(leads_most, self.now)
 
     def _claim(self, vm: _Vm) -> None:
         wanted = vm.leadership.wants_claim(self.now)
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -14,7 +14,7 @@
         )
 
     def _lose_majority(self) -> None:
-        self.dispatcher.hear_most(False, self.now)
+        self.dispatcher.lead_most(False, self.now)
 
     def _run_one(self) -> dispatching.StartTask:
         self.submit(case.make_job('ours', estimate_ms=5_000.0), 60_000.0)
@@ -80,7 +80,7 @@
         self.report('w1', running=((start, 5.0),))
         self._go_silent(3_000)
         self.assertEqual([], self.starts())
-        self.dispatcher.hear_most(True, self.now)
+        self.dispatcher.lead_most(True, self.now)
         self.pass_time(30)
         self.assertEqual(1, len(self.starts()))
 
--- a/tests/dispatching/test_who_starts.py
+++ b/tests/dispatching/test_who_starts.py
@@ -264,8 +264,10 @@
         await self._submit(service, 'first', _LONG_JOBS)
         return service
 
-    async def _submit(self, service, name: str, count: int) -> None:
-        homes = itertools.cycle(sorted(service.vm_by_name))
+    async def _submit(
+        self, service, name: str, count: int, vms: set[str] | None = None
+    ) -> None:
+        homes = itertools.cycle(sorted(vms or service.vm_by_name))
         for number in range(count):
             service.submit(next(homes), f'{name}-{number}')
             await service.run(_LONG_JOBS_EVERY_MS)
@@ -324,3 +326,29 @@
                 service.part(service.names_of(home[0]))
                 await self._submit(service, 'cut', 10)
                 await self._end(service)
+
+    async def test_vms_that_hear_both_sides_double_no_task(self) -> None:
+        """Links come back in part; both dispatchers hear most VMs.
+
+        Each would prolong what the other one takes for lapsed.
+        """
+        for vms in _VMS:
+            with self.subTest(vms=vms):
+                service = await self._start(vms)
+                first = service.dispatcher()
+                own = {n for n in service.vm_by_name if n[0] == first[0]}
+                _part_vms(service, own)
+                await service.run(1_500.0)
+                [second] = set(service.dispatchers()) - {first}
+                between = {
+                    vm
+                    for vm in service.vm_by_name
+                    if vm[0] not in (first[0], second[0])
+                }
+                service.let_through(own, between)
+                await self._submit(service, 'both', _LONG_JOBS, own)
+                self.assertEqual(
+                    sorted((first, second)), service.dispatchers()
+                )
+                service.part(service.names_of(first[0]))
+                await self._end(service)
