--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -68,7 +68,10 @@
         context = self._context
         if leads_most is not context.is_outvoted:
             return
-        context.outvoted_since = None if leads_most else now
+        if leads_most:
+            _holding.trust_again(context, now)
+        else:
+            context.outvoted_since = now
         context.note(
             'majority_changed', 'dispatcher', f'leads most: {leads_most}'
         )
--- a/rosemaryroad/dispatching/_holding.py
+++ b/rosemaryroad/dispatching/_holding.py
@@ -56,6 +56,15 @@
     return now - worker.taken_up_at >= context.limits.lapse_ms
 
 
+def trust_again(context: _context.Context, now: float) -> None:
+    """Takes in that no other dispatcher prolongs leases from now on."""
+    for worker in context.workers_by_id.values():
+        if worker.heard_at >= context.outvoted_since:
+            # The other one may have done so until just now.
+            worker.held_at = now
+    context.outvoted_since = None
+
+
 def has_lapsed(
     context: _context.Context, worker: _state.WorkerState, now: float
 ) -> bool:
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -4,6 +4,9 @@
 from rosemaryroad import model
 from tests.dispatching import case
 
+# A lease, by a worker's clock that is 2 % slow, and a margin.
+LAPSE_MS = case.LEASE_MS * 1.02 + 50.0
+
 
 class HoldingTest(case.DispatcherCase):
     """Leases cover all that runs on a worker, whoever ordered it."""
@@ -81,6 +84,8 @@
         self._go_silent(3_000)
         self.assertEqual([], self.starts())
         self.dispatcher.lead_most(True, self.now)
+        self.pass_time(LAPSE_MS)
+        self.assertEqual([], self.starts())
         self.pass_time(30)
         self.assertEqual(1, len(self.starts()))
 
--- a/tests/dispatching/test_who_starts.py
+++ b/tests/dispatching/test_who_starts.py
@@ -24,6 +24,9 @@
 _LONG_JOBS = 25
 _LONG_JOBS_EVERY_MS = 40.0
 
+# Leases that nobody prolongs have lapsed by then.
+_LAPSE_MS = 1_200.0
+
 # A client whose connection has broken comes again after this long.
 _COME_AGAIN_MS = 1_300.0
 
@@ -352,3 +355,28 @@
                 )
                 service.part(service.names_of(first[0]))
                 await self._end(service)
+
+    async def test_a_successor_that_dies_as_a_cut_heals_doubles_no_task(
+        self,
+    ) -> None:
+        """Its last calls prolong what the first dispatcher lost long ago.
+
+        That one leads most again before it hears of those workers.
+        """
+        service = await self._start(vms=2)
+        first = service.dispatcher()
+        own = {n for n in service.vm_by_name if n[0] == first[0]}
+        others = set(service.vm_by_name) - own
+        _part_vms(service, own)
+        await service.run(1_500.0)
+        [second] = set(service.dispatchers()) - {first}
+        await self._submit(service, 'parted', _LONG_JOBS, own)
+        workers = {key for key in service.worker_by_id if key[0] != first[0]}
+        service.block(own, workers)
+        service.block(workers, own)
+        await service.run(_LAPSE_MS)
+        service.let_through(own, others)
+        service.kill(second)
+        await service.run(500.0)
+        self.assertEqual([first], service.dispatchers())
+        await self._end(service)
