--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -63,14 +63,17 @@
             return None
         return now - order.at
 
-    def hear_most(self, hears_most: bool, now: float) -> None:
-        """Takes in whether this VM hears most of all VMs."""
+    def lead_most(self, leads_most: bool, now: float) -> None:
+        """Takes in whether most of all VMs follow this one."""
         context = self._context
-        if hears_most is not context.is_outvoted:
+        if leads_most is not context.is_outvoted:
             return
-        context.outvoted_since = None if hears_most else now
+        if leads_most:
+            _holding.trust_again(context, now)
+        else:
+            context.outvoted_since = now
         context.note(
-            'majority_changed', 'dispatcher', f'hears most: {hears_most}'
+            'majority_changed', 'dispatcher', f'leads most: {leads_most}'
         )
 
     # Jobs.
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -4,6 +4,9 @@
 from rosemaryroad import model
 from tests.dispatching import case
 
+# A lease, by a worker's clock that is 2 % slow, and a margin.
+LAPSE_MS = case.LEASE_MS * 1.02 + 50.0
+
 
 class HoldingTest(case.DispatcherCase):
     """Leases cover all that runs on a worker, whoever ordered it."""
@@ -14,7 +17,7 @@
         )
 
     def _lose_majority(self) -> None:
-        self.dispatcher.hear_most(False, self.now)
+        self.dispatcher.lead_most(False, self.now)
 
     def _run_one(self) -> dispatching.StartTask:
         self.submit(case.make_job('ours', estimate_ms=5_000.0), 60_000.0)
@@ -80,7 +83,9 @@
         self.report('w1', running=((start, 5.0),))
         self._go_silent(3_000)
         self.assertEqual([], self.starts())
-        self.dispatcher.hear_most(True, self.now)
+        self.dispatcher.lead_most(True, self.now)
+        self.pass_time(LAPSE_MS)
+        self.assertEqual([], self.starts())
         self.pass_time(30)
         self.assertEqual(1, len(self.starts()))
 
