--- a/tests/platform_adapter/test_minions.py
+++ b/tests/platform_adapter/test_minions.py
@@ -1,5 +1,6 @@
 """Tests of orders to the users' minions."""
 
+import contextlib
 import unittest
 
 from rosemaryroad import clock
@@ -38,6 +39,12 @@
         )
         return reply.result
 
+    async def _restart(self) -> None:
+        """Restarts the minion and lets the connections to it break."""
+        self.minion.restart()
+        with contextlib.suppress(endpoints.WorkerUnreachable):
+            await self._hold()
+
     async def test_a_task_runs_and_is_told(self) -> None:
         await self._hold()
         self.assertIs(_Result.DONE, await self._start())
@@ -132,3 +139,21 @@
         held = self.minion.lease_ends
         await self._hold(prolong=False)
         self.assertEqual(held, self.minion.lease_ends)
+
+    async def test_a_restart_forgets_all(self) -> None:
+        """A minion crashes and starts again under the id that it had.
+
+        It runs nothing, has seen no fence and numbers its ends anew.
+        """
+        await self._hold(fence=5)
+        await self._start(fence=5)
+        await self._start(fence=5, task=model.TaskId('a' * 16, 0))
+        await self.client.stop(self.worker, 5, _TASK, 1)
+        await self._restart()
+        report = await self._hold()
+        self.assertEqual(((), ()), (report.running, report.ended))
+        self.assertIs(_Result.DONE, await self._start())
+        await self.client.stop(self.worker, 1, _TASK, 1)
+        [ended] = (await self._hold()).ended
+        self.assertEqual(1, ended.number)
+        self.assertEqual('crashed', self.minion.runs[1].end)
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -66,6 +66,10 @@
         millicores: Its room.
         work_ms: How long each task takes.
         clock_rate: How fast its clock runs.
+
+    Attributes:
+        born_ms: When its present life began, in Unix milliseconds.
+        tells_born: Whether it tells that; older ones don't.
     """
 
     def __init__(
@@ -82,11 +86,10 @@
         self.needs_millicores = 27_000
         self.faults = MinionFaults()
         self.runs: list[Run] = []
-        self.fence = 0
-        self._finished: list[tuple[int, Run]] = []
-        self._barred: dict[str, int] = {}
-        self._number = 0
-        self.lease_ends = 0.0
+        self.born_ms = int(time.time() * MS_PER_SECOND)
+        self.tells_born = True
+        self._clock_from = 0.0
+        self._begin()
         self._changed = asyncio.Event()
         self._serving: _serve.Serving | None = None
 
@@ -111,8 +114,34 @@
         """Ends it and all that runs."""
         await self._serving.stop()
 
+    def restart(self) -> None:
+        """Crashes and starts again at once, under its id and address.
+
+        Its connections break. It runs nothing then, and knows of no
+        attempt, fence or lease; its numbers and its clock start anew.
+        """
+        for run in self.runs:
+            if run.ended is None:
+                run.ended = time.monotonic()
+                run.end = 'crashed'
+        for connection in list(self._serving.server.connections):
+            connection.abort()
+        self.born_ms = max(self.born_ms + 1, int(time.time() * MS_PER_SECOND))
+        self._clock_from = time.monotonic()
+        self._begin()
+
+    def _begin(self) -> None:
+        """Knows nothing, as at the start of a life."""
+        self.fence = 0
+        self.lease_ends = 0.0
+        self._finished: list[tuple[int, Run]] = []
+        self._barred: dict[str, int] = {}
+        self._number = 0
+        self._sequence = 0
+
     def entry(self, **fields: object) -> dict[str, object]:
         """Returns what it writes into the store about itself."""
+        self._sequence += 1
         return {
             'service': 'archive',
             'address': self.address,
@@ -124,7 +153,8 @@
             'capacity': {'cpu': self.millicores, 'mem_mb': 9999, 'gpu': 0},
             'labels': ['a', 'r1-1'],
             'clock_ms': self._clock_ms(),
-            'sequence': 1,
+            'sequence': self._sequence,
+            **self._life(),
         } | fields
 
     def running(self) -> list[Run]:
@@ -132,8 +162,12 @@
         self._let_lapse()
         return [run for run in self.runs if run.ended is None]
 
+    def _life(self) -> dict[str, int]:
+        return {'born': self.born_ms} if self.tells_born else {}
+
     def _clock_ms(self) -> int:
-        return int(time.monotonic() * MS_PER_SECOND * self.clock_rate) + 5_000
+        passed_s = time.monotonic() - self._clock_from
+        return int(passed_s * MS_PER_SECOND * self.clock_rate) + 5_000
 
     async def _misbehave(
         self, request: sanic.Request
@@ -257,6 +291,7 @@
                 [number, run.task, run.attempt, run.end, '']
                 for number, run in self._finished[:500]
             ],
+            **self._life(),
         )
 
     def _percent(self, run: Run) -> int:
