--- a/rosemaryroad/model/_jobs.py
+++ b/rosemaryroad/model/_jobs.py
@@ -96,13 +96,16 @@
     """One life of a minion that runs tasks under leases.
 
     Attributes:
-        id: The id of this life; a restarted minion has another.
+        id: The minion's id; it may keep it when it starts again.
         service: The service whose tasks it runs.
         address: Where it listens, as ``IP:port``.
         failure_domain: Where it stands.
         capacity: What all tasks on it may take together.
         labels: Its kind and its rack.
         leaving: Whether it has announced that it leaves.
+        born: When this life began, in Unix milliseconds, or None where
+            that is not told. Of two lives under one id the one born later
+            is the present one.
     """
 
     id: str
@@ -112,6 +115,7 @@
     capacity: _work.Needs
     labels: tuple[str, ...] = ()
     leaving: bool = False
+    born: int | None = None
 
 
 class TaskEnd(enum.StrEnum):
@@ -165,12 +169,18 @@
         asked_at: Our clock when it was asked.
         running: What it runs.
         ended: What has ended, in the order of the numbers.
+        born: When the life that answered began, in Unix milliseconds, or
+            None where that is not told.
+        may_lack_ends: Whether the question acknowledged ends of an earlier
+            life, so that ends of this one may have been forgotten untold.
     """
 
     worker_clock: float
     asked_at: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    born: int | None = None
+    may_lack_ends: bool = False
 
 
 class OrderResult(enum.StrEnum):
--- a/rosemaryroad/platform/_decoding.py
+++ b/rosemaryroad/platform/_decoding.py
@@ -49,7 +49,7 @@
     """Reads a minion's own entry.
 
     Args:
-        key: The id of this life of the minion; it stands only in the key.
+        key: The minion's id; it stands only in the key.
         text: The entry.
 
     Returns:
@@ -76,6 +76,7 @@
             ),
             labels=_labels(raw),
             leaving=state == 'draining',
+            born=None if 'born' not in raw else _whole(raw, 'born'),
         )
     except (ValueError, RecursionError, _Damaged) as error:
         _skipped(key, error)
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -48,6 +48,19 @@
     body: dict[str, typing.Any]
 
 
+@attrs.frozen
+class _ClockOffset:
+    """A minion's clock less ours.
+
+    Attributes:
+        ms: By how much it is ahead, as of an answer.
+        born: The life that answered, or None where that was not told.
+    """
+
+    ms: float
+    born: int | None
+
+
 class MinionClient(endpoints.WorkerClient):
     """Speaks to the platform's minions.
 
@@ -59,8 +72,7 @@
     def __init__(self, lease_ms: float, clock: clock_module.Clock) -> None:
         self._lease_ms = lease_ms
         self._clock = clock
-        # A minion's clock less ours, as of its last answer.
-        self._offset_by_worker: dict[str, float] = {}
+        self._offset_by_worker: dict[str, _ClockOffset] = {}
         self._session: aiohttp.ClientSession | None = None
 
     async def hold(
@@ -142,9 +154,9 @@
 
     def _lease_end(self, worker: model.Worker) -> int | None:
         offset = self._offset_by_worker.get(worker.id)
-        if offset is None:
+        if offset is None or _is_earlier(offset.born, worker.born):
             return None
-        return int(self._clock.now() + offset + self._lease_ms)
+        return int(self._clock.now() + offset.ms + self._lease_ms)
 
     async def _order(
         self, worker: model.Worker, path: str, body: dict[str, typing.Any]
@@ -188,12 +200,28 @@
             body = {}
         if not isinstance(body, dict):
             body = {}
-        clock_ms = body.get('clock_ms')
-        if _is_number(clock_ms):
-            offset = clock_ms - self._clock.now()
-            self._offset_by_worker[worker.id] = offset
+        self._compare_clocks(worker, body)
         return _Reply(status, body)
 
+    def _compare_clocks(
+        self, worker: model.Worker, body: dict[str, typing.Any]
+    ) -> None:
+        clock_ms = body.get('clock_ms')
+        if not _is_number(clock_ms):
+            return
+        try:
+            born = _read_born(body)
+        except ValueError:
+            return
+        known = self._offset_by_worker.get(worker.id)
+        if known is not None and known.born is not None:
+            # The answers to orders don't tell whose clock theirs is.
+            is_report = 'running' in body
+            if _is_earlier(born, known.born) or not is_report:
+                return
+        offset_ms = clock_ms - self._clock.now()
+        self._offset_by_worker[worker.id] = _ClockOffset(offset_ms, born)
+
     def _open_session(self) -> aiohttp.ClientSession:
         # A session belongs to the loop that runs when it is made.
         if self._session is None:
@@ -245,10 +273,23 @@
             end = _END_BY_WORD.get(row[3], model.TaskEnd.OTHER)
             ended.append(model.EndedTask(int(row[0]), task, int(row[2]), end))
     return model.WorkerReport(
-        float(body['clock_ms']), asked_at, tuple(running), tuple(ended)
+        float(body['clock_ms']),
+        asked_at,
+        tuple(running),
+        tuple(ended),
+        born=_read_born(body),
     )
 
 
+def _read_born(body: dict[str, typing.Any]) -> int | None:
+    if 'born' not in body:
+        return None
+    born = body['born']
+    if type(born) is not int or born < 0:
+        raise ValueError('born')
+    return born
+
+
 def _task_name(task: model.TaskId) -> str:
     return f'{task.job}.{task.occurrence}.{task.step}.{task.index}'
 
@@ -265,5 +306,9 @@
     )
 
 
+def _is_earlier(one: int | None, other: int | None) -> bool:
+    return one is not None and other is not None and one < other
+
+
 def _is_number(value: object) -> bool:
     return type(value) in (int, float)
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -101,6 +101,13 @@
                 names = [route.name for route in self._queues(text).routes]
                 self.assertEqual(['r2'], names)
 
+    def test_the_start_of_a_life(self) -> None:
+        """Older minions don't tell when they started."""
+        [worker] = self._workers(_WORKER)
+        self.assertIsNone(worker.born)
+        [worker] = self._workers(_WORKER | {'born': 1_700_000_000_123})
+        self.assertEqual(1_700_000_000_123, worker.born)
+
     def test_bad_entries_name_no_worker(self) -> None:
         """An entry comes from another writer, or in part.
 
@@ -118,6 +125,10 @@
             {'labels': 'a'},
             {'labels': [1]},
             {'zone': None},
+            {'born': None},
+            {'born': '1700000000123'},
+            {'born': 1.5},
+            {'born': -1},
         ):
             with self.subTest(change):
                 self.assertEqual((), self._workers(_WORKER | change))
--- a/tests/platform_adapter/test_minions.py
+++ b/tests/platform_adapter/test_minions.py
@@ -3,6 +3,8 @@
 import contextlib
 import unittest
 
+import attrs
+
 from rosemaryroad import clock
 from rosemaryroad import endpoints
 from rosemaryroad import model
@@ -157,3 +159,70 @@
         [ended] = (await self._hold()).ended
         self.assertEqual(1, ended.number)
         self.assertEqual('crashed', self.minion.runs[1].end)
+
+    async def test_a_report_names_its_life(self) -> None:
+        report = await self._hold()
+        self.assertEqual(self.minion.born_ms, report.born)
+        self.minion.tells_born = False
+        self.assertIsNone((await self._hold()).born)
+
+    async def test_a_life_of_no_sense_is_no_report(self) -> None:
+        for born in ('1', 1.5, True, -1, None):
+            self.minion.born_ms = born
+            with (
+                self.subTest(born),
+                self.assertRaises(endpoints.WorkerUnreachable),
+            ):
+                await self._hold()
+
+    async def test_leases_end_on_the_clock_of_the_new_life(self) -> None:
+        """The clock starts anew with the minion.
+
+        A start whose lease ended on the clock of before would be carried
+        out however late it came.
+        """
+        await self._hold()
+        await self._restart()
+        self.worker = attrs.evolve(self.worker, born=self.minion.born_ms)
+        await self._hold()
+        self.assertIs(_Result.DONE, await self._start())
+        left_ms = self.minion.start_deadline_ms - self.minion.clock_ms()
+        self.assertLess(abs(left_ms - 1_000), 200)
+
+    async def test_a_new_life_that_does_not_tell(self) -> None:
+        """The minion was put back to a version that tells no life.
+
+        Were its clock not believed, all that starts would be too late.
+        """
+        await self._hold()
+        self.minion.tells_born = False
+        self.minion.clock_rate = 1.5
+        await self._hold()
+        self.assertIs(_Result.DONE, await self._start())
+        left_ms = self.minion.start_deadline_ms - self.minion.clock_ms()
+        self.assertLess(abs(left_ms - 1_000), 200)
+
+    async def test_nothing_starts_on_the_clock_of_an_earlier_life(
+        self,
+    ) -> None:
+        """The entry tells of the new life before the minion does."""
+        await self._hold()
+        born = self.minion.born_ms + 1
+        self.worker = attrs.evolve(self.worker, born=born)
+        self.assertIs(_Result.TOO_LATE, await self._start())
+
+    async def test_a_late_answer_leaves_the_clock_alone(self) -> None:
+        """An answer of the earlier life comes after one of the new life.
+
+        Its clock was behind; by it, all that starts would be too late.
+        """
+        earlier = job_minion.JobMinion('i1', clock_rate=0.0)
+        await earlier.start()
+        self.addAsyncCleanup(earlier.stop)
+        earlier.born_ms = self.minion.born_ms - 1_000
+        await self._hold()
+        late = self._worker(earlier.address)
+        report = await self.client.hold(late, 1, 0, 0.0)
+        self.assertEqual(earlier.born_ms, report.born)
+        await self.client.stop(late, 1, _TASK, 1)
+        self.assertIs(_Result.DONE, await self._start())
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -70,6 +70,7 @@
     Attributes:
         born_ms: When its present life began, in Unix milliseconds.
         tells_born: Whether it tells that; older ones don't.
+        start_deadline_ms: The lease's end that the last start carried.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         self.runs: list[Run] = []
         self.born_ms = int(time.time() * MS_PER_SECOND)
         self.tells_born = True
+        self.start_deadline_ms = 0.0
         self._clock_from = 0.0
         self._begin()
         self._changed = asyncio.Event()
@@ -152,7 +154,7 @@
             'warmup_left_ms': 0,
             'capacity': {'cpu': self.millicores, 'mem_mb': 9999, 'gpu': 0},
             'labels': ['a', 'r1-1'],
-            'clock_ms': self._clock_ms(),
+            'clock_ms': self.clock_ms(),
             'sequence': self._sequence,
             **self._life(),
         } | fields
@@ -165,7 +167,8 @@
     def _life(self) -> dict[str, int]:
         return {'born': self.born_ms} if self.tells_born else {}
 
-    def _clock_ms(self) -> int:
+    def clock_ms(self) -> int:
+        """Returns what its clock shows."""
         passed_s = time.monotonic() - self._clock_from
         return int(passed_s * MS_PER_SECOND * self.clock_rate) + 5_000
 
@@ -188,7 +191,7 @@
     ) -> sanic.HTTPResponse:
         if self.faults.lose_answers:
             await asyncio.sleep(_serve.FOREVER_S)
-        body = {'clock_ms': self._clock_ms(), **fields}
+        body = {'clock_ms': self.clock_ms(), **fields}
         return sanic.response.raw(
             json.dumps(body).encode(),
             status=status,
@@ -205,11 +208,11 @@
     def _prolong(self, body: dict) -> None:
         until = body.get('deadline_ms')
         if until is not None:
-            most = self._clock_ms() + 1_000
+            most = self.clock_ms() + 1_000
             self.lease_ends = max(self.lease_ends, min(until, most))
 
     def _let_lapse(self) -> None:
-        if self._clock_ms() <= self.lease_ends:
+        if self.clock_ms() <= self.lease_ends:
             return
         for run in self.runs:
             if run.ended is None:
@@ -230,10 +233,11 @@
 
     async def _start(self, request: sanic.Request) -> sanic.HTTPResponse:
         body = request.json
+        self.start_deadline_ms = body['deadline_ms']
         self._let_lapse()
         if self._is_fenced(body):
             return await self._reply(409, reason='fence')
-        if body['deadline_ms'] <= self._clock_ms():
+        if body['deadline_ms'] <= self.clock_ms():
             return await self._reply(409, reason='late')
         task, attempt = body['task'], body['attempt']
         going = self.running()
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -178,6 +178,18 @@
         heartbeat = peers.decode(cbor2.dumps([5, 'i', False, 3]))
         self.assertEqual(model.Heartbeat('i', False, 3), heartbeat)
 
+    def test_workers_of_a_peer_that_tells_no_lives(self) -> None:
+        """An older peer lists the workers, for one that has just started."""
+        needs = [16.5, 1, 0]
+        fields = ['i1', 'archive', '10.0.0.9:80', 'szeged', needs, ['a'], True]
+        shared = peers.decode(cbor2.dumps([13, [fields], []]))
+        self.assertEqual(1, len(shared.workers))
+        self.assertTrue(shared.workers[0].leaving)
+        self.assertIsNone(shared.workers[0].born)
+        told = attrs.evolve(shared.workers[0], born=1_700_000_000_000)
+        shared = model.DirectoryShared((told,), ())
+        self.assertEqual(shared, peers.decode(peers.encode(shared)))
+
     def test_too_large_message_is_not_encoded(self) -> None:
         result = bytes(peers.MAX_MESSAGE_BYTES)
         message = model.ForwardAnswer(1, model.Answer((result,)))
