--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -13,6 +13,7 @@
 from rosemaryroad import endpoints
 from rosemaryroad import logs
 from rosemaryroad import model
+from rosemaryroad.jobserver import _acknowledged
 
 _LOG = logging.getLogger(__name__)
 _MS_PER_SECOND = 1000.0
@@ -33,6 +34,8 @@
 _BACKOFF_MS = 25.0
 _MAX_BACKOFF_MS = 400.0
 
+_LOST = (model.OrderResult.UNKNOWN, model.OrderResult.NOT_SENT)
+
 
 class SessionHandler(abc.ABC):
     """Whoever decides about the worker."""
@@ -113,7 +116,7 @@
         self._client = client
         self._handler = handler
         self._clock = clock
-        self._acknowledged = 0
+        self._acknowledged = _acknowledged.Acknowledged()
         self._look = _Look()
         self._background = _background.BackgroundTasks(
             lambda error: logs.fault(_LOG, 'worker_session_failed', error)
@@ -124,6 +127,11 @@
         """Begins to hold the worker."""
         self._spawn(self._hold())
 
+    def update(self, worker: model.Worker) -> None:
+        """Takes in where the worker listens now, and which life it lives."""
+        self.worker = worker
+        self._acknowledged.life_listed(worker.born)
+
     def close(self) -> None:
         """Ends at once; leases that nobody prolongs lapse."""
         self._closed = True
@@ -236,16 +244,15 @@
             return
         prolong = handler.may_prolong(self.worker.id)
         handler.held(self.worker.id)
-        report = await self._client.hold(
-            self.worker,
-            handler.fence(),
-            self._acknowledged,
-            wait_ms,
-            prolong,
-        )
-        if report.ended:
-            last = max(row.number for row in report.ended)
-            self._acknowledged = max(self._acknowledged, last)
+        asked = self._acknowledged.mark
+        try:
+            report = await self._client.hold(
+                self.worker, handler.fence(), asked.number, wait_ms, prolong
+            )
+        except endpoints.WorkerUnreachable:
+            self._acknowledged.call_lost()
+            raise
+        report = self._acknowledged.told(asked, report)
         handler.reported(self.worker.id, report)
 
     async def _start(
@@ -262,8 +269,7 @@
         reply = await self._client.start(
             self.worker, fence, start.task, start.attempt, start.payload
         )
-        if reply.result is model.OrderResult.FENCED:
-            self._handler.fenced(self.worker.id)
+        self._take_reply(reply)
         on_reply(start, reply)
 
     async def _stop(
@@ -273,6 +279,11 @@
         reply = await self._client.stop(
             self.worker, fence, stop.task, stop.attempt
         )
+        self._take_reply(reply)
+        on_reply(stop, reply)
+
+    def _take_reply(self, reply: model.OrderReply) -> None:
         if reply.result is model.OrderResult.FENCED:
             self._handler.fenced(self.worker.id)
-        on_reply(stop, reply)
+        elif reply.result in _LOST:
+            self._acknowledged.call_lost()
--- a/rosemaryroad/model/__init__.py
+++ b/rosemaryroad/model/__init__.py
@@ -51,6 +51,7 @@
 from rosemaryroad.model._job_messages import Pulses
 from rosemaryroad.model._job_messages import QueuesShared
 from rosemaryroad.model._jobs import EndedTask
+from rosemaryroad.model._jobs import is_earlier_life
 from rosemaryroad.model._jobs import Job
 from rosemaryroad.model._jobs import JobEnd
 from rosemaryroad.model._jobs import JobTerms
@@ -173,6 +174,7 @@
     'Unknown',
     'Worker',
     'WorkerReport',
+    'is_earlier_life',
     'is_name',
     'team_key',
     'tombstone',
--- a/rosemaryroad/model/_jobs.py
+++ b/rosemaryroad/model/_jobs.py
@@ -118,6 +118,16 @@
     born: int | None = None
 
 
+def is_earlier_life(one: int | None, other: int | None) -> bool:
+    """Tells whether one life of a worker came before another.
+
+    Args:
+        one: When it began, in Unix milliseconds, or None where not told.
+        other: The same of the other.
+    """
+    return one is not None and other is not None and one < other
+
+
 class TaskEnd(enum.StrEnum):
     """How an attempt ended on its worker."""
 
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -154,7 +154,7 @@
 
     def _lease_end(self, worker: model.Worker) -> int | None:
         offset = self._offset_by_worker.get(worker.id)
-        if offset is None or _is_earlier(offset.born, worker.born):
+        if offset is None or model.is_earlier_life(offset.born, worker.born):
             return None
         return int(self._clock.now() + offset.ms + self._lease_ms)
 
@@ -217,7 +217,7 @@
         if known is not None and known.born is not None:
             # The answers to orders don't tell whose clock theirs is.
             is_report = 'running' in body
-            if _is_earlier(born, known.born) or not is_report:
+            if model.is_earlier_life(born, known.born) or not is_report:
                 return
         offset_ms = clock_ms - self._clock.now()
         self._offset_by_worker[worker.id] = _ClockOffset(offset_ms, born)
@@ -306,9 +306,5 @@
     )
 
 
-def _is_earlier(one: int | None, other: int | None) -> bool:
-    return one is not None and other is not None and one < other
-
-
 def _is_number(value: object) -> bool:
     return type(value) in (int, float)
