--- a/rosemaryroad/dispatching/_actions.py
+++ b/rosemaryroad/dispatching/_actions.py
@@ -38,6 +38,7 @@
         task: Which task.
         attempt: Which attempt of it.
         cause: Why.
+        born: The life of the worker that is known now.
     """
 
     worker: str
@@ -45,6 +46,7 @@
     task: model.TaskId
     attempt: int
     cause: str
+    born: int | None = None
 
 
 @attrs.frozen
--- a/rosemaryroad/dispatching/_answers.py
+++ b/rosemaryroad/dispatching/_answers.py
@@ -3,6 +3,7 @@
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
+from rosemaryroad.dispatching import _lives
 from rosemaryroad.dispatching import _state
 
 # How far the numbers of attempts jump when a worker knows a higher one: a
@@ -19,7 +20,7 @@
 ) -> None:
     """Takes in the reply to an order that takes room at its worker."""
     result = reply.result
-    order.since_clock = max(order.since_clock, reply.worker_clock)
+    _lives.start_answered(order, reply, now)
     if result is model.OrderResult.DONE:
         if order.phase in (
             _state.OrderPhase.STARTING,
@@ -37,6 +38,7 @@
     if order.phase is _state.OrderPhase.RUNNING:
         # A report has shown it at work; an answer to a repetition.
         return
+    order.may_lack_end = False
     context.remove_order(worker, order)
     context.requeue(order, now)
     _take_refusal(context, worker, order, result, now)
@@ -54,7 +56,8 @@
             task = order.job.tasks[order.task.index]
             task.attempt += _ATTEMPT_JUMP
     elif result is model.OrderResult.UNHEALTHY:
-        context.blame(worker, now, 'refused as unhealthy')
+        if not order.is_older:
+            context.blame(worker, now, 'refused as unhealthy')
         worker.full = True
     elif result is model.OrderResult.WRONG_LIFE:
         worker.listed = False
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -169,6 +169,7 @@
                 order.task,
                 order.attempt,
                 cause,
+                worker.worker.born,
             )
         )
 
@@ -177,6 +178,11 @@
         state = order.job
         if state is None or self.jobs_by_id.get(state.job.id) is not state:
             return
+        if order.may_lack_end:
+            # Started again, a task that has ended well would be done twice.
+            cause = f'the end of task {order.task.index} may be lost'
+            self.settle(state, model.JobEnd.GIVEN_UP, cause, now)
+            return
         task = state.tasks[order.task.index]
         if task.order is order:
             task.phase = _state.Phase.WAITING
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -8,6 +8,7 @@
 from rosemaryroad.dispatching import _checks
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _handover
+from rosemaryroad.dispatching import _lives
 from rosemaryroad.dispatching import _load
 from rosemaryroad.dispatching import _queue
 from rosemaryroad.dispatching import _reports
@@ -50,6 +51,11 @@
         """Returns what this dispatcher holds."""
         return _load.measure(self._context, now)
 
+    def is_outdated(self, worker_id: str, report: model.WorkerReport) -> bool:
+        """Tells whether a report is of an earlier life of its worker."""
+        worker = self._context.workers_by_id.get(worker_id)
+        return worker is not None and _lives.is_outdated(worker, report)
+
     def ran_ms(
         self, worker_id: str, row: model.EndedTask, now: float
     ) -> float | None:
@@ -127,9 +133,7 @@
                 )
                 context.note('worker_listed', key, worker.failure_domain)
                 continue
-            if worker.leaving and not known.worker.leaving:
-                context.note('worker_leaving', key, 'by its own entry')
-            known.worker = worker
+            _lives.take_entry(context, known, worker, now)
             known.listed = True
         for key, state in context.workers_by_id.items():
             if key not in listed and state.listed:
@@ -221,7 +225,7 @@
         if worker is None:
             return []
         order = worker.orders_by_key.get((stop.task, stop.attempt))
-        if order is None:
+        if order is None or not _lives.binds(worker, stop):
             return []
         if reply.result is model.OrderResult.UNKNOWN:
             # Its room and its task wait for this answer; the lost one has
--- /dev/null
+++ b/rosemaryroad/dispatching/_lives.py
@@ -0,0 +1,176 @@
+"""Which life of a worker is held, and what ends with an earlier one.
+
+A worker may start again under its id; it then runs nothing and knows of
+nothing that was before. Of two lives the one born later is the present one,
+whatever comes first: the worker's entry, a peer's list or a report.
+"""
+
+import attrs
+
+from rosemaryroad import model
+from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _context
+from rosemaryroad.dispatching import _state
+
+
+def take_entry(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    entry: model.Worker,
+    now: float,
+) -> None:
+    """Takes in a worker's entry, unless it is of an earlier life."""
+    present = worker.worker.born
+    if model.is_earlier_life(entry.born, present):
+        if worker.dropped_born != entry.born:
+            worker.dropped_born = entry.born
+            _note_dropped(context, worker, 'entry', entry.born)
+        return
+    if entry.leaving and not worker.worker.leaving:
+        context.note('worker_leaving', entry.id, 'by its own entry')
+    if model.is_earlier_life(present, entry.born):
+        _begin(context, worker, entry, now)
+    elif entry.born is None:
+        # An older peer lists no lives.
+        worker.worker = attrs.evolve(entry, born=present)
+    else:
+        worker.worker = entry
+
+
+def take_report(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    report: model.WorkerReport,
+    now: float,
+) -> bool:
+    """Takes in which life a report is of.
+
+    Returns:
+        Whether it is of the present life.
+    """
+    if is_outdated(worker, report):
+        _note_dropped(context, worker, 'report', report.born)
+        return False
+    if report.born not in (None, worker.worker.born):
+        told = attrs.evolve(worker.worker, born=report.born)
+        if worker.worker.born is None:
+            worker.worker = told
+        else:
+            _begin(context, worker, told, now)
+    worker.told_asked_at = max(worker.told_asked_at, report.asked_at)
+    if report.may_lack_ends:
+        for order in worker.orders_by_key.values():
+            order.may_lack_end = True
+    return True
+
+
+def is_outdated(
+    worker: _state.WorkerState, report: model.WorkerReport
+) -> bool:
+    """Tells whether a report is of an earlier life of a worker."""
+    return model.is_earlier_life(report.born, worker.worker.born)
+
+
+def told_of(order: _state.Order, report: model.WorkerReport) -> None:
+    """Notes that a report names an attempt; its end will be told."""
+    order.may_lack_end = False
+    order.was_named = True
+    if order.begun_at is None:
+        order.begun_at = report.asked_at
+
+
+def start_answered(
+    order: _state.Order, reply: model.OrderReply, now: float
+) -> None:
+    """Notes from when on reports tell of an attempt."""
+    if reply.result is model.OrderResult.DONE and order.begun_at is None:
+        order.begun_at = now
+    if order.is_older:
+        # It is not known whose clock the reply tells.
+        order.since_asked = now
+    else:
+        order.since_clock = max(order.since_clock, reply.worker_clock)
+
+
+def binds(worker: _state.WorkerState, stop: _actions.StopTask) -> bool:
+    """Tells whether the present life has answered an order to stop.
+
+    What an earlier one has stopped may yet start in this one, where the
+    order to start is still under way. Another stop was sent to it.
+    """
+    return not model.is_earlier_life(stop.born, worker.worker.born)
+
+
+def _begin(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    entry: model.Worker,
+    now: float,
+) -> None:
+    orders = list(worker.orders_by_key.values())
+    gone = [order for order in orders if _began_before(worker, order)]
+    context.note(
+        'worker_restarted',
+        entry.id,
+        f'born {entry.born}, before {worker.worker.born}; '
+        f'{len(gone)} attempts gone, {len(orders) - len(gone)} in doubt',
+    )
+    for order in gone:
+        context.remove_order(worker, order)
+    worker.begin_anew(entry, now)
+    for order in worker.orders_by_key.values():
+        _carry_over(context, worker, order, now)
+    for order in gone:
+        context.requeue(order, now)
+    _forget_blame(context, entry.id)
+    context.worker_changed(worker)
+    context.ask(_actions.LookAt(entry.id))
+
+
+def _began_before(worker: _state.WorkerState, order: _state.Order) -> bool:
+    if order.was_named:
+        return True
+    # The earlier life has reported since; the attempt began there, then.
+    begun_at = order.begun_at
+    return begun_at is not None and begun_at < worker.told_asked_at
+
+
+def _carry_over(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    order: _state.Order,
+    now: float,
+) -> None:
+    """Keeps an attempt that the new life may have begun, or may yet begin."""
+    order.is_older = True
+    order.was_named = False
+    order.since_clock = 0.0
+    order.since_asked = order.begun_at or 0.0
+    order.moved_at = now
+    if order.phase in (
+        _state.OrderPhase.STOPPING,
+        _state.OrderPhase.STOPPED,
+    ):
+        order.phase = _state.OrderPhase.STOPPING
+        context.stop(worker, order, 'its worker has started again', now)
+
+
+def _forget_blame(context: _context.Context, worker_id: str) -> None:
+    context.run_times.forget(worker_id)
+    for state in context.jobs_by_id.values():
+        state.blamed.discard(worker_id)
+        for task in state.tasks:
+            task.failed_on.discard(worker_id)
+
+
+def _note_dropped(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    what: str,
+    born: int | None,
+) -> None:
+    context.note(
+        'earlier_life_dropped',
+        worker.worker.id,
+        f'{what} of the life born {born}, now {worker.worker.born}',
+    )
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -4,6 +4,7 @@
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _ends
+from rosemaryroad.dispatching import _lives
 from rosemaryroad.dispatching import _state
 
 # A task whose progress has not moved for this share of its expected time
@@ -48,6 +49,8 @@
     now: float,
 ) -> None:
     """Takes in what a worker runs and what has ended there."""
+    if not _lives.take_report(context, worker, report, now):
+        return
     _heard(context, worker, report, now)
     ended = set()
     for row in report.ended:
@@ -94,6 +97,7 @@
 ) -> None:
     order = worker.orders_by_key.get((row.task, row.attempt))
     if order is not None:
+        order.may_lack_end = False
         _ends.attempt_ended(context, worker, order, row.end, now)
         return
     # An attempt of the dispatcher before this one; its job may have come
@@ -122,6 +126,7 @@
         _state.OrderPhase.IN_DOUBT,
     ):
         order.phase = _state.OrderPhase.RUNNING
+    _lives.told_of(order, report)
     order.since_clock = max(order.since_clock, report.worker_clock)
     if row.percent != order.percent:
         order.percent = row.percent
@@ -193,6 +198,8 @@
     if order.since_clock >= report.worker_clock:
         # The report was made before the answer, though it came after it.
         return
+    if report.asked_at < order.since_asked:
+        return
     if phase is _state.OrderPhase.IN_DOUBT:
         if report.asked_at > order.stop_sent_at:
             # The start may yet arrive; only a stop that was answered
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -1,6 +1,7 @@
 """What the dispatcher knows of jobs, tasks and workers."""
 
 import enum
+import math
 
 import attrs
 
@@ -51,6 +52,13 @@
         stop_sent_at: When it was last told to stop.
         adopted: Whether another dispatcher started it, so that it is not
             known how long it has run.
+        begun_at: When it was first known to have begun, or None before.
+        was_named: Whether a report of the worker's present life named it.
+        since_asked: A report that was asked for before says nothing of it,
+            either; clocks of two lives of a worker can't be compared.
+        is_older: Whether it was given before the present life of its worker
+            was known, so that either of two may answer.
+        may_lack_end: Whether it may have ended without a word.
     """
 
     task: model.TaskId
@@ -64,6 +72,11 @@
     moved_at: float = 0.0
     stop_sent_at: float = 0.0
     adopted: bool = False
+    begun_at: float | None = None
+    was_named: bool = False
+    since_asked: float = 0.0
+    is_older: bool = False
+    may_lack_end: bool = False
 
 
 @attrs.define(eq=False)
@@ -170,6 +183,8 @@
             where it has told of itself since. It gets no more until then:
             a cut would swallow them all.
         full: Whether it refused for room since it last reported.
+        told_asked_at: When it was asked for the last report of this life.
+        dropped_born: The earlier life whose entry was dropped last.
         free_cores: What its tasks leave of its cores.
         free_memory_mb: The same of its memory.
         free_accelerators: The same of its accelerators.
@@ -190,6 +205,8 @@
     suspensions: int = 0
     unanswered_at: float | None = None
     full: bool = False
+    told_asked_at: float = -math.inf
+    dropped_born: int | None = None
     free_cores: float = 0.0
     free_memory_mb: float = 0.0
     free_accelerators: float = 0.0
@@ -214,6 +231,19 @@
         self.free_memory_mb += order.needs.memory_mb
         self.free_accelerators += order.needs.accelerators
 
+    def begin_anew(self, worker: model.Worker, now: float) -> None:
+        """Forgets all but what takes room, for a new life of the worker.
+
+        Args:
+            worker: The worker, with its new life.
+            now: The present time. Calls under way may yet reach the new
+                life and prolong its leases.
+        """
+        kept = list(self.orders_by_key.values())
+        self.__init__(worker, listed=self.listed, held_at=now)
+        for order in kept:
+            self.add(order)
+
     @property
     def reported(self) -> bool:
         """Whether it has told what it runs."""
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -85,6 +85,8 @@
             return
         now = self._clock.now()
         self._carry_out(self._dispatcher.workers_listed(workers, now))
+        for key, session in self._session_by_worker.items():
+            session.update(self._dispatcher.worker(key))
 
     def message(self, vm: str, message: model.JobMessage) -> None:
         """Takes in what a home tells."""
@@ -176,6 +178,13 @@
         if self._dispatcher is None:
             return
         now = self._clock.now()
+        if not self._dispatcher.is_outdated(worker, report):
+            self._note_ends(worker, report, now)
+        self._carry_out(self._dispatcher.reported(worker, report, now))
+
+    def _note_ends(
+        self, worker: str, report: model.WorkerReport, now: float
+    ) -> None:
         for row in report.ended:
             ran_ms = self._dispatcher.ran_ms(worker, row, now)
             self._metrics.task_ended(row.end, ran_ms)
@@ -190,7 +199,6 @@
                 end=row.end.value,
                 ran_ms=ran_ms,
             )
-        self._carry_out(self._dispatcher.reported(worker, report, now))
 
     def silent(self, worker: str, cause: str) -> None:
         """Takes in that a worker did not answer."""
--- a/tests/dispatching/case.py
+++ b/tests/dispatching/case.py
@@ -113,10 +113,11 @@
         running: tuple = (),
         ended: tuple = (),
         asked_at: float | None = None,
+        **fields,
     ) -> None:
         """Has a worker tell (order, percent) and (order, end) pairs."""
         report = model.WorkerReport(
-            worker_clock=self.now,
+            worker_clock=fields.pop('worker_clock', self.now),
             asked_at=self.now if asked_at is None else asked_at,
             running=tuple(
                 model.RunningTask(order.task, order.attempt, percent)
@@ -126,6 +127,7 @@
                 model.EndedTask(index + 1, order.task, order.attempt, end)
                 for index, (order, end) in enumerate(ended)
             ),
+            **fields,
         )
         self.take(self.dispatcher.reported(worker, report, self.now))
 
--- /dev/null
+++ b/tests/dispatching/test_lives.py
@@ -0,0 +1,542 @@
+"""Tests of workers that start again under the id that they had."""
+
+from rosemaryroad import dispatching
+from rosemaryroad import model
+from tests.dispatching import case
+
+_FIRST = 1_700_000_000_000
+_SECOND = _FIRST + 60_000
+
+
+class LivesCase(case.DispatcherCase):
+    """Has one worker that tells its lives, and others that don't."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.workers = {'w1': case.make_worker('w1', born=_FIRST)}
+        self._list()
+        self.report('w1', born=_FIRST)
+
+    def list_born(self, born: int | None, **fields) -> None:
+        """Lists the worker with a life."""
+        self.workers['w1'] = case.make_worker('w1', born=born, **fields)
+        self._list()
+
+    def add_other(self) -> None:
+        """Lists a second worker that has told that it runs nothing."""
+        self.workers['w2'] = case.make_worker('w2')
+        self._list()
+        self.report('w2')
+
+    def start(self, **fields) -> dispatching.StartTask:
+        """Has a job of one task started at the first worker."""
+        self.submit(case.make_job(**fields), left_ms=6_000)
+        [start] = self.starts()
+        self.assertEqual('w1', start.worker)
+        return start
+
+    def run_in_first(self) -> dispatching.StartTask:
+        """Has a task run in the first life, as a report of it has told."""
+        start = self.start()
+        self.answer(start)
+        self.now += 5
+        self.report('w1', running=((start, 10.0),), born=_FIRST)
+        return start
+
+    def noted(self, event: str) -> list[str]:
+        """Returns the details of the events of a name noted so far."""
+        found = self.pop(dispatching.Noted)
+        return [item.detail for item in found if item.event == event]
+
+    def lapse(self) -> None:
+        """Lets more time pass than any lease holds."""
+        self.pass_time(1_500)
+
+    def _list(self) -> None:
+        self.list_workers(*self.workers.values())
+
+
+class LearningTest(LivesCase):
+    """A new life is learned from whatever tells of it first."""
+
+    def test_what_ran_before_starts_elsewhere_at_once(self) -> None:
+        """A worker has started again; its entry tells so first.
+
+        Its tasks are gone. Waited for until leases lapse, their jobs would
+        miss their objectives.
+        """
+        self.run_in_first()
+        self.add_other()
+        self.list_born(_SECOND)
+        [again] = self.starts()
+        self.assertEqual(('w2', 2), (again.worker, again.attempt))
+        self.assertEqual(1, len(self.noted('worker_restarted')))
+
+    def test_a_report_tells_of_the_new_life_first(self) -> None:
+        self.run_in_first()
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        [again] = self.starts()
+        self.assertEqual(('w1', 2), (again.worker, again.attempt))
+
+    def test_a_new_life_gets_nothing_before_it_has_told(self) -> None:
+        """What another dispatcher may run there is not known."""
+        self.list_born(_SECOND)
+        self.submit(case.make_job())
+        self.assertEqual([], self.starts())
+        self.assertEqual(['w1'], [i.worker for i in self.pop(_LOOK)])
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        self.assertEqual(1, len(self.starts()))
+
+    def test_a_stale_list_changes_nothing(self) -> None:
+        """Lists lag, and the report of the new life came before.
+
+        Taken for a further life, each would have all tasks there started
+        elsewhere, again and again.
+        """
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        start = self.start()
+        self.answer(start)
+        self.noted('')
+        for _ in range(3):
+            self.list_born(_FIRST)
+            self.report('w1', running=((start, 5.0),), born=_SECOND)
+            self.now += 5
+        self.assertEqual(_SECOND, self.dispatcher.worker('w1').born)
+        self.assertEqual([], self.starts())
+        details = self.noted('earlier_life_dropped')
+        self.assertEqual(1, len(details))
+        self.assertIn('entry', details[0])
+
+    def test_a_list_that_tells_no_life_changes_nothing(self) -> None:
+        """A peer of an older version lists the workers."""
+        start = self.run_in_first()
+        self.list_born(None)
+        self.assertEqual(_FIRST, self.dispatcher.worker('w1').born)
+        self.report('w1', running=((start, 15.0),), born=_FIRST)
+        self.assertEqual([], self.starts())
+
+    def test_a_life_first_told_is_no_new_one(self) -> None:
+        """An older peer's list came first; the report tells more."""
+        self.workers['w2'] = case.make_worker('w2')
+        self._list()
+        self.report('w2')
+        self.submit(case.make_job(tasks=4))
+        starts = [item for item in self.starts() if item.worker == 'w2']
+        for start in starts:
+            self.answer(start)
+        self.now += 5
+        running = tuple((item, 5.0) for item in starts)
+        self.report('w2', running=running, born=_FIRST)
+        self.assertEqual([], self.starts())
+        self.assertEqual([], self.noted('worker_restarted'))
+        self.assertEqual(_FIRST, self.dispatcher.worker('w2').born)
+
+    def test_a_late_report_of_an_earlier_life_is_dropped(self) -> None:
+        """It was on its way while the worker started again.
+
+        Believed, it would show tasks at work that are gone, and hide those
+        that have started since.
+        """
+        old = self.run_in_first()
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        [again] = self.starts()
+        self.answer(again)
+        self.now += 5
+        self.report('w1', running=((old, 50.0),), born=_FIRST)
+        self.assertEqual([], self.starts() + self.stops())
+        self.assertEqual(1, len(self.noted('earlier_life_dropped')))
+        done = (old, model.TaskEnd.DONE)
+        self.report('w1', ended=(done,), born=_FIRST)
+        self.assertEqual([], self.settled())
+        self.report('w1', running=((again, 5.0),), born=_SECOND)
+        done = (again, model.TaskEnd.DONE)
+        self.report('w1', ended=(done,), born=_SECOND)
+        self.assertEqual([('job-1', model.JobEnd.COMPLETED)], self.settled())
+
+    def test_the_new_life_listens_elsewhere(self) -> None:
+        """The worker has another address and another room."""
+        worker = case.make_worker('w1', cores=28.0, born=_SECOND)
+        self.workers['w1'] = worker
+        self._list()
+        self.assertEqual(worker, self.dispatcher.worker('w1'))
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        self.submit(case.make_job(tasks=2))
+        self.assertEqual(1, len(self.starts()))
+
+
+_LOOK = dispatching.LookAt
+
+
+class ForgettingTest(LivesCase):
+    """What was known of an earlier life counts no more."""
+
+    def test_attempts_that_vanish_free_their_room(self) -> None:
+        """The worker's clock has started anew.
+
+        Were its reports compared with the clock of before, each would seem
+        older than what is known; what vanishes would keep its room for good
+        and workers would fill up with tasks that don't run.
+        """
+        start = self.start()
+        self.answer(start)
+        self.now += 5
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        [again] = self.starts()
+        self.assertEqual(2, again.attempt)
+
+    def test_an_answer_of_before_does_not_hold_the_room(self) -> None:
+        """An order to start was answered by the earlier life.
+
+        Its answer comes after the new life is known, with the clock of
+        before.
+        """
+        start = self.start()
+        self.list_born(_SECOND)
+        self.answer(start)
+        self.now += 5
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        [again] = self.starts()
+        self.assertEqual(2, again.attempt)
+
+    def test_a_report_from_before_an_answer_says_nothing(self) -> None:
+        """It is on its way while the new life begins a task.
+
+        Taken for its absence, the task would start a second time.
+        """
+        start = self.start()
+        self.list_born(_SECOND)
+        asked_at = self.now
+        self.now += 5
+        self.answer(start)
+        self.report('w1', born=_SECOND, worker_clock=7.0, asked_at=asked_at)
+        self.assertEqual([], self.starts())
+        self.now += 5
+        running = ((start, 5.0),)
+        self.report('w1', running, born=_SECOND, worker_clock=17.0)
+        self.assertEqual([], self.starts() + self.stops())
+
+    def test_it_is_suspended_no_more(self) -> None:
+        """The worker failed what it started, and has been put right."""
+        self.add_other()
+        for number in range(2):
+            self.submit(case.make_job(f'job-{number}', tasks=3))
+            for start in self.starts():
+                self.answer(start)
+                end = model.TaskEnd.DONE
+                if start.worker == 'w1':
+                    end = model.TaskEnd.FAILED
+                self.report(start.worker, ended=((start, end),))
+        self.assertTrue(self.noted('worker_suspended'))
+        self.starts()
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        self.submit(case.make_job('job-9', tasks=4))
+        workers = [item.worker for item in self.starts()]
+        self.assertEqual(2, workers.count('w1'))
+
+    def test_it_is_silent_no_more(self) -> None:
+        """Its entry tells that a silent worker has started again."""
+        self.take(self.dispatcher.silent('w1', 'no answer', self.now))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
+        self.list_born(_SECOND)
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        self.submit(case.make_job())
+        self.assertEqual(1, len(self.starts()))
+
+    def test_an_order_left_unanswered_before_counts_no_more(self) -> None:
+        start = self.start()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        self.list_born(_SECOND)
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        self.submit(case.make_job('job-2'))
+        self.assertEqual(['job-2'], [i.task.job for i in self.starts()])
+
+    def test_its_old_pace_is_forgotten(self) -> None:
+        """The worker was slow, and its new life is of another kind.
+
+        By the pace of before it would be the last to get anything.
+        """
+        self.add_other()
+        for number in range(20):
+            self.submit(
+                case.make_job(f'job-{number}', tasks=4, estimate_ms=100.0),
+                left_ms=60_000,
+            )
+            starts = self.starts()
+            for start in starts:
+                self.answer(start)
+            for worker, ms in (('w2', 100.0), ('w1', 60.0)):
+                self.now += ms
+                ended = tuple(
+                    (item, model.TaskEnd.DONE)
+                    for item in starts
+                    if item.worker == worker
+                )
+                self.report(worker, ended=ended)
+        del self.workers['w2']
+        self.workers['w3'] = case.make_worker('w3')
+        self._list()
+        self.report('w3')
+        self.assertEqual('w3', self._try_one('job-a'))
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        self.assertEqual('w1', self._try_one('job-b'))
+
+    def _try_one(self, job: str) -> str:
+        """Returns where a job starts; its client gives it up at once."""
+        self.submit(case.make_job(job))
+        [start] = self.starts()
+        self.answer(start)
+        self.take(self.dispatcher.withdraw(case.HOME, job, self.now))
+        [stop] = self.stops()
+        self.answer(stop)
+        self.now += 5
+        self.report(start.worker)
+        return start.worker
+
+
+class DoubtTest(LivesCase):
+    """What the new life may yet begin holds its task back."""
+
+    def _restart(self) -> None:
+        self.list_born(_SECOND)
+        self.now += 5
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+
+    def test_a_start_in_doubt_is_stopped_in_the_new_life(self) -> None:
+        """A start without an answer may be carried out seconds later.
+
+        The new life has the same id, and its clock is behind that of the
+        lease which the order carries: it would begin.
+        """
+        self.add_other()
+        start = self.start()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        self._restart()
+        self.assertEqual([], self.starts())
+        [stop] = self.stops()
+        self.assertEqual(_SECOND, stop.born)
+        self.now += 5
+        self.answer(stop)
+        self.assertEqual([], self.starts())
+        self.now += 5
+        self.report('w1', born=_SECOND)
+        [again] = self.starts()
+        self.assertEqual(2, again.attempt)
+
+    def test_a_start_in_doubt_that_the_new_life_began(self) -> None:
+        self.add_other()
+        start = self.start()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        running = ((start, 1.0),)
+        self.report('w1', running, born=_SECOND, worker_clock=7.0)
+        self.lapse_reporting(start)
+        self.assertEqual([], self.starts())
+
+    def lapse_reporting(self, start: dispatching.StartTask) -> None:
+        """Lets time pass while the second life tells of a task."""
+        for percent in range(2, 30):
+            self.now += 10
+            running = ((start, float(percent)),)
+            self.report('w1', running, born=_SECOND, worker_clock=percent)
+
+    def test_a_start_under_way_waits_for_its_answer(self) -> None:
+        """The new life's report was made before the start came there."""
+        self.add_other()
+        start = self.start()
+        self._restart()
+        self.assertEqual([], self.starts())
+        self.answer(start)
+        self.now += 5
+        running = ((start, 1.0),)
+        self.report('w1', running, born=_SECOND, worker_clock=17.0)
+        self.assertEqual([], self.starts() + self.stops())
+
+    def test_a_start_that_the_new_life_refuses(self) -> None:
+        self.add_other()
+        start = self.start()
+        self._restart()
+        self.answer(start, model.OrderResult.TOO_LATE)
+        [again] = self.starts()
+        self.assertEqual(2, again.attempt)
+
+    def test_another_id_answers(self) -> None:
+        """A worker of another id listens at the address by now."""
+        self.add_other()
+        start = self.start()
+        self.answer(start, model.OrderResult.WRONG_LIFE)
+        [again] = self.starts()
+        self.assertEqual('w2', again.worker)
+
+    def test_a_stop_by_the_earlier_life_binds_no_other(self) -> None:
+        """A start got no answer, and its stop was carried out.
+
+        Only the life that stopped it refuses the start; it may come late
+        and begin in the next one, beside the task started elsewhere.
+        """
+        self.add_other()
+        start = self.start()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        self.report('w1', born=_FIRST)
+        [stop] = self.stops()
+        self.answer(stop)
+        self.now += 5
+        self._restart()
+        self.assertEqual([], self.starts())
+        [stop] = self.stops()
+        self.now += 5
+        self.answer(stop)
+        self.now += 5
+        self.report('w1', born=_SECOND)
+        self.assertEqual(1, len(self.starts()))
+
+    def test_a_stop_answered_late_binds_no_other(self) -> None:
+        """The earlier life stopped it; the answer was long on its way."""
+        self.add_other()
+        start = self.start()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        self.report('w1', born=_FIRST)
+        [earlier] = self.stops()
+        self._restart()
+        [stop] = self.stops()
+        self.answer(earlier)
+        self.now += 5
+        self.report('w1', born=_SECOND, worker_clock=17.0)
+        self.assertEqual([], self.starts())
+        self.answer(stop)
+        self.now += 5
+        self.report('w1', born=_SECOND, worker_clock=self.now + 1)
+        self.assertEqual(1, len(self.starts()))
+
+    def test_what_was_being_stopped_and_is_gone_starts_at_once(self) -> None:
+        """A task stood still, and its worker has crashed meanwhile."""
+        start = self.run_in_first()
+        self.add_other()
+        self.now += 200
+        self.report('w1', running=((start, 10.0),), born=_FIRST)
+        self.assertEqual(1, len(self.stops()))
+        self.list_born(_SECOND)
+        [again] = self.starts()
+        self.assertEqual('w2', again.worker)
+
+    def test_an_answered_start_of_no_known_life_is_asked_for(self) -> None:
+        """The answer came from either life, just before its entry did.
+
+        Started elsewhere at once, the task may run twice.
+        """
+        self.add_other()
+        start = self.start()
+        self.answer(start)
+        self.list_born(_SECOND)
+        self.assertEqual([], self.starts())
+        self.now += 5
+        running = ((start, 1.0),)
+        self.report('w1', running, born=_SECOND, worker_clock=7.0)
+        self.assertEqual([], self.starts() + self.stops())
+
+
+class LostEndTest(LivesCase):
+    """Ends of the new life were acknowledged by a number of before."""
+
+    def test_what_may_have_ended_well_is_given_up(self) -> None:
+        """A quick restart, and the next question carries an old number.
+
+        A task that has begun in the new life may have ended well unseen;
+        started again, it would be done twice. Its client hears at once that
+        the job is given up, and sends it again.
+        """
+        start = self.start()
+        self.answer(start)
+        self.now += 5
+        self.report('w1', born=_SECOND, may_lack_ends=True, worker_clock=7.0)
+        self.assertEqual([], self.starts())
+        self.assertEqual([('job-1', model.JobEnd.GIVEN_UP)], self.settled())
+
+    def test_what_the_earlier_life_ran_starts_again(self) -> None:
+        self.run_in_first()
+        self.report('w1', born=_SECOND, may_lack_ends=True, worker_clock=7.0)
+        self.assertEqual([2], [item.attempt for item in self.starts()])
+        self.assertEqual([], self.settled())
+
+    def test_what_is_listed_goes_on(self) -> None:
+        start = self.start()
+        self.answer(start)
+        self.now += 5
+        self.report(
+            'w1',
+            ((start, 5.0),),
+            born=_SECOND,
+            may_lack_ends=True,
+            worker_clock=7.0,
+        )
+        ended = (start, model.TaskEnd.FAILED)
+        self.report('w1', ended=(ended,), born=_SECOND, worker_clock=9.0)
+        self.assertEqual([], self.settled())
+        self.assertEqual(1, len(self.starts()))
+
+    def test_a_refused_start_has_not_run(self) -> None:
+        self.add_other()
+        start = self.start()
+        self.report('w1', born=_SECOND, may_lack_ends=True, worker_clock=7.0)
+        self.answer(start, model.OrderResult.NO_ROOM)
+        self.assertEqual([], self.settled())
+        self.assertEqual(1, len(self.starts()))
+
+    def test_a_start_in_doubt_may_have_run(self) -> None:
+        start = self.start()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        self.report('w1', born=_SECOND, may_lack_ends=True, worker_clock=7.0)
+        [stop] = self.stops()
+        self.now += 5
+        self.answer(stop)
+        self.now += 5
+        self.report('w1', born=_SECOND)
+        self.assertEqual([], self.starts())
+        self.assertEqual([('job-1', model.JobEnd.GIVEN_UP)], self.settled())
+
+
+class TakeoverTest(LivesCase):
+    """A dispatcher that takes over tells lives apart by reports alone."""
+
+    def test_a_job_placed_in_an_earlier_life(self) -> None:
+        """The dispatcher and a worker are lost at once.
+
+        The home tells where its tasks were placed; the worker has started
+        again and runs none of them.
+        """
+        placed = (model.Placement(0, 'w1'),)
+        self.submit(case.make_job(), attempt=1, placed=placed)
+        self.assertEqual([], self.starts())
+        self.list_born(_SECOND)
+        self.assertEqual([], self.starts())
+        self.now += 5
+        self.report('w1', born=_SECOND, worker_clock=7.0)
+        self.assertEqual([2], [item.attempt for item in self.starts()])
+
+    def test_a_report_of_before_says_nothing_of_the_new_life(self) -> None:
+        """It shows no task; the first dispatcher has begun one since."""
+        asked_at = self.now
+        self.list_born(_SECOND)
+        self.now += 5
+        placed = (model.Placement(0, 'w1'),)
+        self.submit(case.make_job(), attempt=1, placed=placed)
+        self.report('w1', born=_FIRST, asked_at=asked_at)
+        self.report('w1', born=_FIRST)
+        self.assertEqual([], self.starts())
+
+    def test_a_task_taken_over_that_is_gone(self) -> None:
+        """Its worker starts again just after it was taken over."""
+        placed = (model.Placement(0, 'w1'),)
+        self.submit(case.make_job(), attempt=1, placed=placed)
+        task = model.TaskId('job-1', 0)
+        theirs = dispatching.StartTask('w1', '', task, 1, '', 0.0)
+        self.report('w1', running=((theirs, 40.0),), born=_FIRST)
+        self.assertEqual([], self.starts())
+        self.add_other()
+        self.list_born(_SECOND)
+        self.assertEqual(['w2'], [item.worker for item in self.starts()])
