--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -139,6 +139,8 @@
     ) -> None:
         """Takes out an attempt that can't run any more."""
         worker.remove(order)
+        if order.may_begin_late and worker.worker.born is not None:
+            worker.late_orders.append(attrs.evolve(order, job=None))
         self.worker_changed(worker)
         by_worker = self.orders_by_task.get(order.task, {})
         if by_worker.get(worker.worker.id) is order:
--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -12,6 +12,9 @@
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _state
 
+# A call without an answer may be carried out seconds later.
+_LATE_CALL_MS = 10_000.0
+
 
 def take_entry(
     context: _context.Context,
@@ -74,6 +77,7 @@
 def told_of(order: _state.Order, report: model.WorkerReport) -> None:
     """Notes that a report names an attempt; its end will be told."""
     order.may_lack_end = False
+    order.may_begin_late = False
     order.was_named = True
     if order.begun_at is None:
         order.begun_at = report.asked_at
@@ -85,6 +89,8 @@
     """Notes from when on reports tell of an attempt."""
     if reply.result is model.OrderResult.DONE and order.begun_at is None:
         order.begun_at = now
+    is_unknown = reply.result is model.OrderResult.UNKNOWN
+    order.may_begin_late = is_unknown and order.begun_at is None
     if order.is_older:
         # It is not known whose clock the reply tells.
         order.since_asked = now
@@ -117,7 +123,11 @@
     )
     for order in gone:
         context.remove_order(worker, order)
+    late = worker.late_orders
     worker.begin_anew(entry, now)
+    for order in late:
+        if now - order.at < _LATE_CALL_MS:
+            _keep_out(context, worker, order, now)
     for order in worker.orders_by_key.values():
         _carry_over(context, worker, order, now)
     for order in gone:
@@ -155,6 +165,23 @@
         context.stop(worker, order, 'its worker has started again', now)
 
 
+def _keep_out(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    order: _state.Order,
+    now: float,
+) -> None:
+    """Stops an attempt that was given up before it can begin late.
+
+    An earlier life would have refused it, for its stop or for its lease;
+    it would run beside the attempt that followed.
+    """
+    if worker.worker.id in context.orders_by_task.get(order.task, {}):
+        return
+    order.phase = _state.OrderPhase.STOPPING
+    context.add_order(worker, order)
+
+
 def _forget_blame(context: _context.Context, worker_id: str) -> None:
     context.run_times.forget(worker_id)
     for state in context.jobs_by_id.values():
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -55,7 +55,7 @@
     ended = set()
     for row in report.ended:
         ended.add((row.task, row.attempt))
-        _take_end(context, worker, row, now)
+        _take_end(context, worker, row, report, now)
     running = set()
     for row in report.running:
         running.add((row.task, row.attempt))
@@ -93,11 +93,12 @@
     context: _context.Context,
     worker: _state.WorkerState,
     row: model.EndedTask,
+    report: model.WorkerReport,
     now: float,
 ) -> None:
     order = worker.orders_by_key.get((row.task, row.attempt))
     if order is not None:
-        order.may_lack_end = False
+        _lives.told_of(order, report)
         _ends.attempt_ended(context, worker, order, row.end, now)
         return
     # An attempt of the dispatcher before this one; its job may have come
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -1,5 +1,6 @@
 """What the dispatcher knows of jobs, tasks and workers."""
 
+import collections
 import enum
 import math
 
@@ -7,6 +8,8 @@
 
 from rosemaryroad import model
 
+_MOST_LATE_ORDERS = 64
+
 
 class Phase(enum.Enum):
     """Where a task stands."""
@@ -59,6 +62,8 @@
         is_older: Whether it was given before the present life of its worker
             was known, so that either of two may answer.
         may_lack_end: Whether it may have ended without a word.
+        may_begin_late: Whether its start got no answer and may still be
+            under way.
     """
 
     task: model.TaskId
@@ -77,6 +82,7 @@
     since_asked: float = 0.0
     is_older: bool = False
     may_lack_end: bool = False
+    may_begin_late: bool = False
 
 
 @attrs.define(eq=False)
@@ -185,6 +191,8 @@
         full: Whether it refused for room since it last reported.
         told_asked_at: When it was asked for the last report of this life.
         dropped_born: The earlier life whose entry was dropped last.
+        late_orders: Attempts given up here that may yet begin in a next
+            life, where nothing refuses them.
         free_cores: What its tasks leave of its cores.
         free_memory_mb: The same of its memory.
         free_accelerators: The same of its accelerators.
@@ -207,6 +215,9 @@
     full: bool = False
     told_asked_at: float = -math.inf
     dropped_born: int | None = None
+    late_orders: collections.deque[Order] = attrs.field(
+        factory=lambda: collections.deque(maxlen=_MOST_LATE_ORDERS)
+    )
     free_cores: float = 0.0
     free_memory_mb: float = 0.0
     free_accelerators: float = 0.0
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -16,6 +16,7 @@
 from rosemaryroad import dispatching
 from rosemaryroad import jobserver
 from rosemaryroad import model
+from rosemaryroad.jobserver import _acknowledged
 from tests.dispatching import case
 
 STORE = 'store'
@@ -26,6 +27,7 @@
 _RELINK_MS = 100.0
 _LEASE_MS = 1_000.0
 _LONG_MS = 3_600_000.0
+_FIRST_BORN_MS = 1_700_000_000_000
 _LIMITS = dispatching.DispatchLimits(lease_ms=_LEASE_MS)
 
 
@@ -54,12 +56,33 @@
 
 
 class _Worker:
-    """Runs what it is told under a lease, and lists how it ended."""
+    """Runs what it is told under a lease, and lists how it ended.
+
+    Attributes:
+        listed: Its entry, which may name an earlier life.
+        born: Its present life.
+        runs: What it runs.
+    """
 
     def __init__(self, worker: model.Worker, run_ms: float) -> None:
-        self.listed = worker
-        self.runs: dict[tuple[model.TaskId, int], _Run] = {}
+        self.born = _FIRST_BORN_MS
+        self.listed = attrs.evolve(worker, born=self.born)
         self._run_ms = run_ms
+        self._clock_from = 0.0
+        self._begin()
+
+    def restart(self, now: float) -> None:
+        """Forgets all, and what ran is gone; its clock starts anew."""
+        self.born = max(self.born + 1, _FIRST_BORN_MS + int(now))
+        self._clock_from = now
+        self._begin()
+
+    def clock(self, now: float) -> float:
+        """Returns what its clock shows."""
+        return now - self._clock_from
+
+    def _begin(self) -> None:
+        self.runs: dict[tuple[model.TaskId, int], _Run] = {}
         self._highest: dict[model.TaskId, int] = {}
         self._ended: list[model.EndedTask] = []
         self._numbers = itertools.count(1)
@@ -80,12 +103,15 @@
         starter: str,
         fence: int,
         now: float,
+        lease_end: float,
     ) -> model.OrderResult:
-        """Carries out an order to start."""
+        """Carries out an order to start, if its lease has not lapsed."""
         key = (order.task, order.attempt)
         if fence < self._fence:
             return model.OrderResult.FENCED
         self._fence = fence
+        if lease_end <= self.clock(now):
+            return model.OrderResult.TOO_LATE
         if order.attempt <= self._highest.get(order.task, 0):
             return model.OrderResult.STALE_ATTEMPT
         self._highest[order.task] = order.attempt
@@ -119,7 +145,9 @@
             )
             for key, run in self.runs.items()
         )
-        return model.WorkerReport(now, now, running, tuple(self._ended))
+        return model.WorkerReport(
+            self.clock(now), now, running, tuple(self._ended), self.born
+        )
 
     def _end(self, key: tuple[model.TaskId, int], how: model.TaskEnd) -> None:
         del self.runs[key]
@@ -130,7 +158,9 @@
 class _Held:
     """What a dispatcher's VM knows of one worker's calls."""
 
-    acknowledged: int = 0
+    acknowledged: _acknowledged.Acknowledged = attrs.field(
+        factory=_acknowledged.Acknowledged
+    )
     failures: int = 0
     next_at: float = 0.0
 
@@ -179,6 +209,7 @@
         self._numbers = itertools.count()
         self._blocked: set[tuple[str, str]] = set()
         self._deaf: set[str] = set()
+        self._delay_by_worker: dict[str, float] = {}
         self._row = dispatching.LeaseRow(0, '')
         self._relink_at = 0.0
         self.vm_by_name: dict[str, _Vm] = {}
@@ -237,10 +268,25 @@
         """Loses all orders to some workers; they tell what they run."""
         self._deaf |= workers
 
+    def delay(self, workers: set[str], ms: float) -> None:
+        """Has starts reach some workers late; they stay unanswered."""
+        self._delay_by_worker |= dict.fromkeys(workers, ms)
+
+    def restart(self, worker: str, listed_after_ms: float) -> None:
+        """Has a worker start again under its id.
+
+        Args:
+            worker: The worker.
+            listed_after_ms: When its entry tells so.
+        """
+        self.worker_by_id[worker].restart(self.now)
+        self._at(self.now + listed_after_ms, self._list_again, worker)
+
     def heal(self) -> None:
         """Lets everything through again."""
         self._blocked.clear()
         self._deaf.clear()
+        self._delay_by_worker.clear()
 
     def freeze(self, vm: str, ms: float) -> None:
         """Stops a VM for a while; what reaches it meanwhile waits."""
@@ -284,6 +330,13 @@
             if self.now >= self._relink_at:
                 self._relink()
 
+    def ends(self) -> list[model.JobEnd | None]:
+        """Returns how all jobs so far have ended; None for no answer yet."""
+        return [
+            task.result().end if task.done() and not task.cancelled() else None
+            for task in self._tasks
+        ]
+
     async def close(self) -> None:
         """Ends what clients wait for."""
         for task in self._tasks:
@@ -389,16 +442,27 @@
             vm.dispatcher = dispatching.JobDispatcher(
                 _LIMITS, role.claim is model.Claim.DEPUTY
             )
-            workers = [item.listed for item in self.worker_by_id.values()]
-            vm.held_by_worker = {item.id: _Held() for item in workers}
-            self._carry_out(
-                vm, vm.dispatcher.workers_listed(workers, self.now)
-            )
+            vm.held_by_worker = {key: _Held() for key in self.worker_by_id}
+            self._list_workers(vm)
         elif not acts:
             vm.dispatcher = None
         vm.home.follow(0, role.dispatcher)
         self._pulse(vm)
 
+    def _list_workers(self, vm: _Vm) -> None:
+        workers = [item.listed for item in self.worker_by_id.values()]
+        self._carry_out(vm, vm.dispatcher.workers_listed(workers, self.now))
+        for worker in workers:
+            held = vm.held_by_worker[worker.id]
+            held.acknowledged.life_listed(worker.born)
+
+    def _list_again(self, worker_id: str) -> None:
+        worker = self.worker_by_id[worker_id]
+        worker.listed = attrs.evolve(worker.listed, born=worker.born)
+        for vm in self.vm_by_name.values():
+            if vm.dispatcher is not None:
+                self._list_workers(vm)
+
     # Messages.
 
     def _pulse_if_due(self, vm: _Vm) -> None:
@@ -495,19 +559,38 @@
         dispatcher = vm.dispatcher
         wanted = dispatcher is not None and dispatcher.is_wanted(order)
         if not wanted or not vm.leadership.may_order(self.now):
-            self._reply(vm, dispatcher, order, model.OrderResult.NOT_SENT)
+            reply = model.OrderReply(model.OrderResult.NOT_SENT)
+            self._reply(vm, dispatcher, order, reply)
             return
         dispatcher.held(order.worker, self.now)
         fence = vm.leadership.fence
         result = model.OrderResult.UNKNOWN
         if self._takes_order(vm, order.worker):
             worker = self.worker_by_id[order.worker]
-            worker.settle(self.now)
-            result = worker.start(order, vm.name, fence, self.now)
-            if result is model.OrderResult.DONE:
-                self._note_start(order, vm.name)
+            lease_end = worker.clock(self.now) + _LEASE_MS
+            delay_ms = self._delay_by_worker.get(order.worker)
+            arguments = (order, vm.name, fence, lease_end)
+            if delay_ms is None:
+                result = self._arrive_at_worker(*arguments)
+            else:
+                when = self.now + delay_ms
+                self._at(when, self._arrive_at_worker, *arguments)
         self._answer(vm, dispatcher, order, result)
 
+    def _arrive_at_worker(
+        self,
+        order: dispatching.StartTask,
+        starter: str,
+        fence: int,
+        lease_end: float,
+    ) -> model.OrderResult:
+        worker = self.worker_by_id[order.worker]
+        worker.settle(self.now)
+        result = worker.start(order, starter, fence, self.now, lease_end)
+        if result is model.OrderResult.DONE:
+            self._note_start(order, starter)
+        return result
+
     def _note_start(self, order: dispatching.StartTask, starter: str) -> None:
         self.starts += 1
         for worker_id, worker in self.worker_by_id.items():
@@ -537,18 +620,23 @@
             result = model.OrderResult.UNKNOWN
         is_lost = result is model.OrderResult.UNKNOWN
         when = self.now + (_ANSWER_MS if is_lost else 2 * _HOP_MS)
-        self._at(when, self._reply, vm, dispatcher, order, result)
+        worker_clock = self.worker_by_id[order.worker].clock(self.now)
+        reply = model.OrderReply(result, 0.0 if is_lost else worker_clock)
+        self._at(when, self._reply, vm, dispatcher, order, reply)
 
-    def _reply(self, vm: _Vm, dispatcher, order, result) -> None:
+    def _reply(
+        self, vm: _Vm, dispatcher, order, reply: model.OrderReply
+    ) -> None:
         if dispatcher is None or vm.dispatcher is not dispatcher:
             return
         if vm.frozen_until > self.now:
-            arguments = (vm, dispatcher, order, result)
+            arguments = (vm, dispatcher, order, reply)
             vm.waiting.append((self._reply, arguments))
             return
-        if result is model.OrderResult.FENCED:
+        if reply.result is model.OrderResult.FENCED:
             vm.leadership.fenced(vm.leadership.fence)
-        reply = model.OrderReply(result, self.now)
+        elif reply.result is model.OrderResult.UNKNOWN:
+            vm.held_by_worker[order.worker].acknowledged.call_lost()
         if isinstance(order, dispatching.StartTask):
             actions = dispatcher.start_answered(order, reply, self.now)
         else:
@@ -568,12 +656,13 @@
             return
         prolong = dispatcher.may_prolong(worker_id, self.now)
         dispatcher.held(worker_id, self.now)
+        asked = held.acknowledged.mark
         report = None
         if self._reaches(vm.name, worker_id):
             worker = self.worker_by_id[worker_id]
             worker.settle(self.now)
             report = worker.hold(
-                vm.leadership.fence, held.acknowledged, prolong, self.now
+                vm.leadership.fence, asked.number, prolong, self.now
             )
             if report is None:
                 vm.leadership.fenced(vm.leadership.fence)
@@ -585,6 +674,7 @@
                 vm,
                 dispatcher,
                 worker_id,
+                asked,
                 report,
             )
         else:
@@ -596,17 +686,18 @@
                 worker_id,
             )
 
-    def _reported(self, vm: _Vm, dispatcher, worker_id: str, report) -> None:
+    def _reported(
+        self, vm: _Vm, dispatcher, worker_id: str, asked, report
+    ) -> None:
         if vm.dispatcher is not dispatcher:
             return
         if vm.frozen_until > self.now:
-            arguments = (vm, dispatcher, worker_id, report)
+            arguments = (vm, dispatcher, worker_id, asked, report)
             vm.waiting.append((self._reported, arguments))
             return
         held = vm.held_by_worker[worker_id]
         held.failures = 0
-        for row in report.ended:
-            held.acknowledged = max(held.acknowledged, row.number)
+        report = held.acknowledged.told(asked, report)
         actions = dispatcher.reported(worker_id, report, self.now)
         self._carry_out(vm, actions)
 
@@ -615,6 +706,7 @@
             return
         held = vm.held_by_worker[worker_id]
         held.failures += 1
+        held.acknowledged.call_lost()
         if held.failures >= 2:
             actions = dispatcher.silent(worker_id, 'no answer', self.now)
             self._carry_out(vm, actions)
--- a/tests/dispatching/test_lives.py
+++ b/tests/dispatching/test_lives.py
@@ -412,6 +412,54 @@
         self.report('w1', born=_SECOND, worker_clock=self.now + 1)
         self.assertEqual(1, len(self.starts()))
 
+    def _give_up_a_start(self) -> dispatching.StartTask:
+        """Has a start in doubt stopped, and its task started elsewhere."""
+        start = self.start()
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        self.report('w1', born=_FIRST)
+        [stop] = self.stops()
+        self.answer(stop)
+        self.workers['w2'] = case.make_worker('w2', cores=200.0)
+        self.take(self.dispatcher.silent('w2', 'new', self.now))
+        self._list()
+        self.now += 5
+        self.list_born(_FIRST, leaving=True)
+        self.report('w2')
+        self.report('w1', born=_FIRST)
+        [again] = self.starts()
+        self.assertEqual('w2', again.worker)
+        self.answer(again)
+        return start
+
+    def test_a_start_given_up_is_stopped_in_the_next_life(self) -> None:
+        """It was stopped, its task runs elsewhere, and it comes late.
+
+        The next life has not stopped it and would begin it as well.
+        """
+        start = self._give_up_a_start()
+        self.now += 1_000
+        self.list_born(_SECOND)
+        [stop] = self.stops()
+        given = (stop.worker, stop.task, stop.attempt, stop.born)
+        self.assertEqual(('w1', start.task, 1, _SECOND), given)
+        self.answer(stop, model.OrderResult.UNKNOWN)
+        [stop] = self.stops()
+        self.now += 5
+        self.answer(stop)
+        self.now += 5
+        self.report('w1', born=_SECOND)
+        self.assertFalse(self.dispatcher.has_work('w1'))
+        # It may come in a third life as well.
+        self.list_born(_SECOND + 1)
+        self.assertEqual(1, len(self.stops()))
+
+    def test_a_start_given_up_long_ago_is_forgotten(self) -> None:
+        self._give_up_a_start()
+        self.now += 20_000
+        self.list_born(_SECOND)
+        self.assertEqual([], self.stops())
+
     def test_what_was_being_stopped_and_is_gone_starts_at_once(self) -> None:
         """A task stood still, and its worker has crashed meanwhile."""
         start = self.run_in_first()
