--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -143,6 +143,8 @@
     ) -> None:
         """Takes out an attempt that can't run any more."""
         worker.remove(order)
+        if order.may_begin_late and worker.worker.born is not None:
+            worker.late_orders.append(attrs.evolve(order, job=None))
         self.worker_changed(worker)
         by_worker = self.orders_by_task.get(order.task, {})
         if by_worker.get(worker.worker.id) is order:
@@ -173,6 +175,7 @@
                 order.task,
                 order.attempt,
                 cause,
+                worker.worker.born,
             )
         )
 
@@ -181,6 +184,11 @@
         state = order.job
         if state is None or self.jobs_by_id.get(state.job.id) is not state:
             return
+        if order.may_lack_end:
+            # Started again, a task that has ended well would be done twice.
+            cause = f'the end of task {order.task.index} may be lost'
+            self.settle(state, model.JobEnd.GIVEN_UP, cause, now)
+            return
         task = state.tasks[order.task.index]
         if task.order is order:
             task.phase = _state.Phase.WAITING
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -66,6 +66,11 @@
         millicores: Its room.
         work_ms: How long each task takes.
         clock_rate: How fast its clock runs.
+
+    Attributes:
+        born_ms: When its present life began, in Unix milliseconds.
+        tells_born: Whether it tells that; older ones don't.
+        start_deadline_ms: The lease's end that the last start carried.
     """
 
     def __init__(
@@ -82,11 +87,11 @@
         self.needs_millicores = 27_000
         self.faults = MinionFaults()
         self.runs: list[Run] = []
-        self.fence = 0
-        self._finished: list[tuple[int, Run]] = []
-        self._barred: dict[str, int] = {}
-        self._number = 0
-        self.lease_ends = 0.0
+        self.born_ms = int(time.time() * MS_PER_SECOND)
+        self.tells_born = True
+        self.start_deadline_ms = 0.0
+        self._clock_from = 0.0
+        self._begin()
         self._changed = asyncio.Event()
         self._serving: _serve.Serving | None = None
 
@@ -111,8 +116,34 @@
         """Ends it and all that runs."""
         await self._serving.stop()
 
+    def restart(self) -> None:
+        """Crashes and starts again at once, under its id and address.
+
+        Its connections break. It runs nothing then, and knows of no
+        attempt, fence or lease; its numbers and its clock start anew.
+        """
+        for run in self.runs:
+            if run.ended is None:
+                run.ended = time.monotonic()
+                run.end = 'crashed'
+        for connection in list(self._serving.server.connections):
+            connection.abort()
+        self.born_ms = max(self.born_ms + 1, int(time.time() * MS_PER_SECOND))
+        self._clock_from = time.monotonic()
+        self._begin()
+
+    def _begin(self) -> None:
+        """Knows nothing, as at the start of a life."""
+        self.fence = 0
+        self.lease_ends = 0.0
+        self._finished: list[tuple[int, Run]] = []
+        self._barred: dict[str, int] = {}
+        self._number = 0
+        self._sequence = 0
+
     def entry(self, **fields: object) -> dict[str, object]:
         """Returns what it writes into the store about itself."""
+        self._sequence += 1
         return {
             'service': 'archive',
             'address': self.address,
@@ -123,8 +154,9 @@
             'warmup_left_ms': 0,
             'capacity': {'cpu': self.millicores, 'mem_mb': 9999, 'gpu': 0},
             'labels': ['a', 'r1-1'],
-            'clock_ms': self._clock_ms(),
-            'sequence': 1,
+            'clock_ms': self.clock_ms(),
+            'sequence': self._sequence,
+            **self._life(),
         } | fields
 
     def running(self) -> list[Run]:
@@ -132,8 +164,13 @@
         self._let_lapse()
         return [run for run in self.runs if run.ended is None]
 
-    def _clock_ms(self) -> int:
-        return int(time.monotonic() * MS_PER_SECOND * self.clock_rate) + 5_000
+    def _life(self) -> dict[str, int]:
+        return {'born': self.born_ms} if self.tells_born else {}
+
+    def clock_ms(self) -> int:
+        """Returns what its clock shows."""
+        passed_s = time.monotonic() - self._clock_from
+        return int(passed_s * MS_PER_SECOND * self.clock_rate) + 5_000
 
     async def _misbehave(
         self, request: sanic.Request
@@ -154,7 +191,7 @@
     ) -> sanic.HTTPResponse:
         if self.faults.lose_answers:
             await asyncio.sleep(_serve.FOREVER_S)
-        body = {'clock_ms': self._clock_ms(), **fields}
+        body = {'clock_ms': self.clock_ms(), **fields}
         return sanic.response.raw(
             json.dumps(body).encode(),
             status=status,
@@ -171,11 +208,11 @@
     def _prolong(self, body: dict) -> None:
         until = body.get('deadline_ms')
         if until is not None:
-            most = self._clock_ms() + 1_000
+            most = self.clock_ms() + 1_000
             self.lease_ends = max(self.lease_ends, min(until, most))
 
     def _let_lapse(self) -> None:
-        if self._clock_ms() <= self.lease_ends:
+        if self.clock_ms() <= self.lease_ends:
             return
         for run in self.runs:
             if run.ended is None:
@@ -196,10 +233,11 @@
 
     async def _start(self, request: sanic.Request) -> sanic.HTTPResponse:
         body = request.json
+        self.start_deadline_ms = body['deadline_ms']
         self._let_lapse()
         if self._is_fenced(body):
             return await self._reply(409, reason='fence')
-        if body['deadline_ms'] <= self._clock_ms():
+        if body['deadline_ms'] <= self.clock_ms():
             return await self._reply(409, reason='late')
         task, attempt = body['task'], body['attempt']
         going = self.running()
@@ -257,6 +295,7 @@
                 [number, run.task, run.attempt, run.end, '']
                 for number, run in self._finished[:500]
             ],
+            **self._life(),
         )
 
     def _percent(self, run: Run) -> int:
