--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -22,7 +22,9 @@
 _HOP_MS = 1.0
 _STEP_MS = 10.0
 _ANSWER_MS = 120.0
-_HOLD_WAIT_MS = 100.0
+_BUSY_WAIT_MS = 300.0
+_IDLE_WAIT_MS = 900.0
+_BACKOFF_MS = 400.0
 _RELINK_MS = 100.0
 _LEASE_MS = 1_000.0
 _ORDER_WAY_MS = 40.0
@@ -66,6 +68,7 @@
         self._numbers = itertools.count(1)
         self._lease_end = 0.0
         self._fence = 0
+        self.waiting: list = []
 
     def settle(self, now: float) -> None:
         """Ends what has run its time, or whose lease has lapsed."""
@@ -80,7 +83,7 @@
         order: dispatching.StartTask,
         starter: str,
         fence: int,
-        lease_ms: float,
+        lease_end: float,
         now: float,
     ) -> model.OrderResult:
         """Carries out an order to start."""
@@ -88,10 +91,12 @@
         if fence < self._fence:
             return model.OrderResult.FENCED
         self._fence = fence
+        if now >= lease_end:
+            return model.OrderResult.TOO_LATE
         if order.attempt <= self._highest.get(order.task, 0):
             return model.OrderResult.STALE_ATTEMPT
         self._highest[order.task] = order.attempt
-        self._lease_end = max(self._lease_end, now + lease_ms)
+        self._lease_end = max(self._lease_end, lease_end)
         self.runs[key] = _Run(starter, now, now + self._run_ms)
         return model.OrderResult.DONE
 
@@ -105,23 +110,27 @@
         if key in self.runs:
             self._end(key, model.TaskEnd.STOPPED)
 
-    def hold(
-        self, fence: int, acknowledged: int, prolong: bool, now: float
-    ) -> model.WorkerReport | None:
-        """Tells what runs; None where the fence is too low."""
+    def hold(self, fence: int, prolong: bool, now: float) -> bool:
+        """Prolongs leases; tells whether the fence is high enough."""
         if fence < self._fence:
-            return None
+            return False
         self._fence = fence
         if prolong:
             self._lease_end = max(self._lease_end, now + _LEASE_MS)
-        self._ended = [row for row in self._ended if row.number > acknowledged]
+        return True
+
+    def report(
+        self, acknowledged: int, asked_at: float, now: float
+    ) -> model.WorkerReport:
+        """Tells what runs, and what has ended."""
         running = tuple(
             model.RunningTask(
                 *key, min(99.0, 100.0 * (now - run.since) / self._run_ms)
             )
             for key, run in self.runs.items()
         )
-        return model.WorkerReport(now, now, running, tuple(self._ended))
+        ended = tuple(r for r in self._ended if r.number > acknowledged)
+        return model.WorkerReport(now, asked_at, running, ended)
 
     def _end(self, key: tuple[model.TaskId, int], how: model.TaskEnd) -> None:
         del self.runs[key]
@@ -135,6 +144,7 @@
     acknowledged: int = 0
     failures: int = 0
     next_at: float = 0.0
+    question: int = 0
 
 
 @attrs.define(eq=False)
@@ -181,6 +191,7 @@
         self._numbers = itertools.count()
         self._blocked: set[tuple[str, str]] = set()
         self._deaf: set[str] = set()
+        self._late_ms_by_worker: dict[str, float] = {}
         self._row = dispatching.LeaseRow(0, '')
         self._relink_at = 0.0
         self.vm_by_name: dict[str, _Vm] = {}
@@ -252,8 +263,13 @@
         """Loses all orders to some workers; they tell what they run."""
         self._deaf |= workers
 
+    def hold_up(self, workers: set[str], ms: float) -> None:
+        """Has some workers carry orders to start out late, unanswered."""
+        self._late_ms_by_worker.update(dict.fromkeys(workers, ms))
+
     def heal(self) -> None:
         """Lets everything through again."""
+        self._late_ms_by_worker.clear()
         self._blocked.clear()
         self._deaf.clear()
 
@@ -294,6 +310,7 @@
             self.clock.advance(max(0.0, step_end - self.now))
             for worker in self.worker_by_id.values():
                 worker.settle(self.now)
+                self._tell_ends(worker)
             for vm in list(self.vm_by_name.values()):
                 self._step(vm)
             if self.now >= self._relink_at:
@@ -521,16 +538,31 @@
         prolong = dispatcher.may_prolong(order.worker)
         dispatcher.held(order.worker, self.now)
         fence = vm.leadership.fence
-        lease_ms = _LEASE_MS if prolong else _ORDER_WAY_MS
+        lease_end = self.now + (_LEASE_MS if prolong else _ORDER_WAY_MS)
         result = model.OrderResult.UNKNOWN
         if self._takes_order(vm, order.worker):
-            worker = self.worker_by_id[order.worker]
-            worker.settle(self.now)
-            result = worker.start(order, vm.name, fence, lease_ms, self.now)
-            if result is model.OrderResult.DONE:
-                self._note_start(order, vm.name)
+            begin = (vm.name, order, fence, lease_end)
+            late_ms = self._late_ms_by_worker.get(order.worker)
+            if late_ms is None:
+                result = self._begin(*begin)
+            else:
+                self._at(self.now + late_ms, self._begin, *begin)
         self._answer(vm, dispatcher, order, result)
 
+    def _begin(
+        self,
+        starter: str,
+        order: dispatching.StartTask,
+        fence: int,
+        lease_end: float,
+    ) -> model.OrderResult:
+        worker = self.worker_by_id[order.worker]
+        worker.settle(self.now)
+        result = worker.start(order, starter, fence, lease_end, self.now)
+        if result is model.OrderResult.DONE:
+            self._note_start(order, starter)
+        return result
+
     def _note_start(self, order: dispatching.StartTask, starter: str) -> None:
         self.starts += 1
         for worker_id, worker in self.worker_by_id.items():
@@ -581,27 +613,105 @@
     def _hold_all(self, vm: _Vm) -> None:
         for worker_id, held in vm.held_by_worker.items():
             if vm.dispatcher is not None and self.now >= held.next_at:
-                held.next_at = self.now + _HOLD_WAIT_MS
-                self._ask(vm, worker_id)
+                self._hold(vm, worker_id)
 
-    def _ask(self, vm: _Vm, worker_id: str) -> None:
+    def _hold(self, vm: _Vm, worker_id: str) -> None:
+        """Asks a worker; it waits for an end before it answers."""
         dispatcher = vm.dispatcher
         held = vm.held_by_worker[worker_id]
         if dispatcher is None or not vm.leadership.may_order(self.now):
             return
+        wait_ms = 0.0
+        if held.question and not held.failures:
+            is_busy = dispatcher.has_work(worker_id)
+            wait_ms = _BUSY_WAIT_MS if is_busy else _IDLE_WAIT_MS
+        held.question += 1
+        held.next_at = self.now + _LONG_MS
+        question = (vm, dispatcher, worker_id, held.question, self.now)
         prolong = dispatcher.may_prolong(worker_id)
         dispatcher.held(worker_id, self.now)
-        report = None
         if self._reaches(vm.name, worker_id):
             worker = self.worker_by_id[worker_id]
             worker.settle(self.now)
-            report = worker.hold(
-                vm.leadership.fence, held.acknowledged, prolong, self.now
-            )
-            if report is None:
+            if not worker.hold(vm.leadership.fence, prolong, self.now):
                 vm.leadership.fenced(vm.leadership.fence)
+                held.next_at = self.now + 2 * _HOP_MS
                 return
-        if report is not None and self._reaches(worker_id, vm.name):
+            worker.waiting.append(question)
+            self._at(self.now + wait_ms, self._tell, worker, question)
+        self._at(
+            self.now + wait_ms + _ANSWER_MS, self._hold_unanswered, *question
+        )
+
+    def _tell_ends(self, worker: _Worker) -> None:
+        for question in list(worker.waiting):
+            vm, _, worker_id, _, _ = question
+            acknowledged = vm.held_by_worker[worker_id].acknowledged
+            if worker.report(acknowledged, self.now, self.now).ended:
+                self._tell(worker, question)
+
+    def _tell(self, worker: _Worker, question: tuple) -> None:
+        if question not in worker.waiting:
+            return
+        worker.waiting.remove(question)
+        vm, dispatcher, worker_id, _, asked_at = question
+        if vm.dispatcher is not dispatcher:
+            return
+        worker.settle(self.now)
+        acknowledged = vm.held_by_worker[worker_id].acknowledged
+        report = worker.report(acknowledged, asked_at, self.now)
+        if self._reaches(worker_id, vm.name):
+            self._at(self.now + 2 * _HOP_MS, self._held, *question, report)
+
+    def _held(
+        self, vm: _Vm, dispatcher, worker_id: str, number: int, _, report
+    ) -> None:
+        held = vm.held_by_worker[worker_id]
+        if vm.dispatcher is not dispatcher or held.question != number:
+            return
+        if vm.frozen_until > self.now:
+            arguments = (vm, dispatcher, worker_id, number, None, report)
+            vm.waiting.append((self._held, arguments))
+            return
+        held.failures = 0
+        held.next_at = self.now
+        self._reported(vm, dispatcher, worker_id, report)
+        if vm.dispatcher is dispatcher:
+            self._hold(vm, worker_id)
+
+    def _hold_unanswered(
+        self, vm: _Vm, dispatcher, worker_id: str, number: int, _
+    ) -> None:
+        held = vm.held_by_worker[worker_id]
+        if vm.dispatcher is not dispatcher or held.question != number:
+            return
+        if vm.frozen_until > self.now:
+            arguments = (vm, dispatcher, worker_id, number, None)
+            vm.waiting.append((self._hold_unanswered, arguments))
+            return
+        held.next_at = self.now
+        held.failures += 1
+        if held.failures >= 2:
+            held.next_at += _BACKOFF_MS
+            actions = dispatcher.silent(worker_id, 'no answer', self.now)
+            self._carry_out(vm, actions)
+
+    def _ask(self, vm: _Vm, worker_id: str) -> None:
+        """Asks a worker out of turn; it answers at once, or not at all."""
+        dispatcher = vm.dispatcher
+        if dispatcher is None or not vm.leadership.may_order(self.now):
+            return
+        prolong = dispatcher.may_prolong(worker_id)
+        dispatcher.held(worker_id, self.now)
+        if not self._reaches(vm.name, worker_id):
+            return
+        worker = self.worker_by_id[worker_id]
+        worker.settle(self.now)
+        if not worker.hold(vm.leadership.fence, prolong, self.now):
+            return
+        acknowledged = vm.held_by_worker[worker_id].acknowledged
+        report = worker.report(acknowledged, self.now, self.now)
+        if self._reaches(worker_id, vm.name):
             self._at(
                 self.now + 2 * _HOP_MS,
                 self._reported,
@@ -610,14 +720,6 @@
                 worker_id,
                 report,
             )
-        else:
-            self._at(
-                self.now + _ANSWER_MS,
-                self._unanswered,
-                vm,
-                dispatcher,
-                worker_id,
-            )
 
     def _reported(self, vm: _Vm, dispatcher, worker_id: str, report) -> None:
         if vm.dispatcher is not dispatcher:
@@ -627,17 +729,7 @@
             vm.waiting.append((self._reported, arguments))
             return
         held = vm.held_by_worker[worker_id]
-        held.failures = 0
         for row in report.ended:
             held.acknowledged = max(held.acknowledged, row.number)
         actions = dispatcher.reported(worker_id, report, self.now)
         self._carry_out(vm, actions)
-
-    def _unanswered(self, vm: _Vm, dispatcher, worker_id: str) -> None:
-        if vm.dispatcher is not dispatcher or vm.frozen_until > self.now:
-            return
-        held = vm.held_by_worker[worker_id]
-        held.failures += 1
-        if held.failures >= 2:
-            actions = dispatcher.silent(worker_id, 'no answer', self.now)
-            self._carry_out(vm, actions)
