--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -120,14 +120,14 @@
         """Tells whether orders may go out now.
 
         A VM that was stopped for a while may have been replaced without
-        knowing; its orders wait until it has heard the others. Orders that
-        were due when it was stopped go out before its next look at the
-        time.
+        knowing; its orders wait until it has heard the others, and has
+        looked whom it hasn't. Orders that were due when it was stopped go out
+        before its next look at the time.
         """
         if self._claim is model.Claim.NONE:
             return False
         return (
-            now >= self._unsure_until
+            self._ticked_at >= self._unsure_until
             and now - self._ticked_at < self._pace.pause_ms
         )
 
@@ -267,7 +267,9 @@
         """Looks at the time; to be called every few ten milliseconds."""
         if now - self._ticked_at >= self._pace.pause_ms:
             # What was heard before the pause says nothing of the present.
-            self._unsure_until = now + _HEARD_MS
+            # Signs that have waited for this VM are read about now, and may
+            # be older than a silence.
+            self._unsure_until = now + self._pace.silent_ms + TICK_MS
             self._signs.renew(now - self._pace.silent_ms + _HEARD_MS)
         late_ms = max(0.0, now - self._ticked_at - TICK_MS)
         self._strain.looked(late_ms, now)
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -3,6 +3,7 @@
 import itertools
 import unittest
 
+from rosemaryroad import dispatching
 from rosemaryroad import model
 from tests.dispatching import played_group
 
@@ -601,3 +602,46 @@
         vm.tick_ms = 30.0
         self.group.run(2_000)
         self.assertEqual([self.first], list(self.group.claims()))
+
+
+class PauseTest(unittest.TestCase):
+    """A dispatcher was stopped for a while."""
+
+    def test_no_order_goes_out_before_silent_homes_are_given_up(self) -> None:
+        """Signs from before are read late, and count as new.
+
+        Homes that have gone to another dispatcher would have tasks started
+        here as well.
+        """
+        for count in (2, 14):
+            with self.subTest(peers=count):
+                self._play([f'p{number}' for number in range(count)])
+
+    def _play(self, peers: list[str]) -> None:
+        now = 10_000.0
+        leadership = dispatching.Leadership('own', now)
+        leadership.peers_known(dict.fromkeys(['own', *peers], 1.0))
+        leadership.inform(now)
+        sign = model.Pulse(1, 1, 'own', model.Claim.NONE, False, True)
+        for peer in peers:
+            leadership.joined(peer, now)
+            leadership.heard(peer, sign, now)
+        leadership.claim_won(dispatching.LeaseRow(1, 'own'), now)
+        leadership.tick(now)
+        self.assertTrue(leadership.may_order(now))
+        woken = now + 2_000.0
+        given_up: set[str] = set()
+        may_order = False
+        for step in range(200):
+            now = woken + 5.0 * step
+            # Looks come a little late, as they do.
+            if step % 7 == 0:
+                leadership.tick(now)
+                given_up.update(leadership.silent(now))
+            if step == 2:
+                for peer in peers:
+                    leadership.heard(peer, sign, now)
+            may_order = leadership.may_order(now)
+            if may_order:
+                self.assertEqual(set(peers), given_up)
+        self.assertTrue(may_order)
--- a/tests/dispatching/test_who_starts.py
+++ b/tests/dispatching/test_who_starts.py
@@ -27,6 +27,9 @@
 # Leases that nobody prolongs have lapsed by then.
 _LAPSE_MS = 1_200.0
 
+# Others have replaced a VM that was stopped for so long.
+_FREEZE_MS = 700.0
+
 # A client whose connection has broken comes again after this long.
 _COME_AGAIN_MS = 1_300.0
 
@@ -380,3 +383,24 @@
         await service.run(500.0)
         self.assertEqual([first], service.dispatchers())
         await self._end(service)
+
+    async def test_signs_that_waited_for_a_stopped_vm_double_no_task(
+        self,
+    ) -> None:
+        """They were sent before a cut, and are read when the VM goes on.
+
+        It would give orders for homes that have left it long ago.
+        """
+        for vms in _VMS:
+            with self.subTest(vms=vms):
+                service = played_service.PlayedService(vms=vms)
+                self.addAsyncCleanup(service.close)
+                await service.run(4_000.0)
+                dispatcher = service.dispatcher()
+                own = {n for n in service.vm_by_name if n[0] == dispatcher[0]}
+                others = set(service.vm_by_name) - own
+                service.freeze(dispatcher, _FREEZE_MS)
+                await self._submit(service, 'stopped', 6, others)
+                _part_vms(service, own)
+                await self._submit(service, 'parted', _LONG_JOBS, others)
+                await self._end(service)
