--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -212,6 +212,7 @@
             late = _state.Order(
                 start.task, start.attempt, model.Needs(), None, now
             )
+            _lives.start_answered(late, reply, now)
             self._context.add_order(worker, late)
             self._context.stop(worker, late, 'given up before', now)
         _queue.fill_changed(self._context, now)
--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -5,6 +5,8 @@
 whatever comes first: the worker's entry, a peer's list or a report.
 """
 
+import operator
+
 import attrs
 
 from rosemaryroad import model
@@ -15,6 +17,8 @@
 # A call without an answer may be carried out seconds later.
 _LATE_CALL_MS = 10_000.0
 
+_ATTEMPT = operator.attrgetter('attempt')
+
 
 def take_entry(
     context: _context.Context,
@@ -125,7 +129,8 @@
         context.remove_order(worker, order)
     late = worker.late_orders
     worker.begin_anew(entry, now)
-    for order in late:
+    # A stop bars all lower attempts of its task as well.
+    for order in sorted(late, key=_ATTEMPT, reverse=True):
         if now - order.at < _LATE_CALL_MS:
             _keep_out(context, worker, order, now)
     for order in worker.orders_by_key.values():
@@ -176,10 +181,15 @@
     An earlier life would have refused it, for its stop or for its lease;
     it would run beside the attempt that followed.
     """
-    if worker.worker.id in context.orders_by_task.get(order.task, {}):
-        return
-    order.phase = _state.OrderPhase.STOPPING
-    context.add_order(worker, order)
+    by_worker = context.orders_by_task.get(order.task, {})
+    present = by_worker.get(worker.worker.id)
+    if present is None:
+        order.phase = _state.OrderPhase.STOPPING
+        context.add_order(worker, order)
+    elif present.phase is not _state.OrderPhase.STOPPING:
+        # The next attempt is on its way to the same worker.
+        worker.late_orders.append(order)
+        context.stop(worker, order, 'its worker has started again', now)
 
 
 def _forget_blame(context: _context.Context, worker_id: str) -> None:
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -62,8 +62,8 @@
         is_older: Whether it was given before the present life of its worker
             was known, so that either of two may answer.
         may_lack_end: Whether it may have ended without a word.
-        may_begin_late: Whether its start got no answer and may still be
-            under way.
+        may_begin_late: Whether its start has got no answer and may still
+            be under way.
     """
 
     task: model.TaskId
@@ -82,7 +82,7 @@
     since_asked: float = 0.0
     is_older: bool = False
     may_lack_end: bool = False
-    may_begin_late: bool = False
+    may_begin_late: bool = True
 
 
 @attrs.define(eq=False)
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -272,14 +272,20 @@
         """Has starts reach some workers late; they stay unanswered."""
         self._delay_by_worker |= dict.fromkeys(workers, ms)
 
-    def restart(self, worker: str, listed_after_ms: float) -> None:
+    def restart(
+        self, worker: str, listed_after_ms: float, breaks_calls: bool = True
+    ) -> None:
         """Has a worker start again under its id.
 
         Args:
             worker: The worker.
             listed_after_ms: When its entry tells so.
+            breaks_calls: Whether those who hold it lose a call by that.
         """
         self.worker_by_id[worker].restart(self.now)
+        for vm in self.vm_by_name.values():
+            if breaks_calls and worker in vm.held_by_worker:
+                vm.held_by_worker[worker].acknowledged.call_lost()
         self._at(self.now + listed_after_ms, self._list_again, worker)
 
     def heal(self) -> None:
@@ -332,10 +338,7 @@
 
     def ends(self) -> list[model.JobEnd | None]:
         """Returns how all jobs so far have ended; None for no answer yet."""
-        return [
-            task.result().end if task.done() and not task.cancelled() else None
-            for task in self._tasks
-        ]
+        return [_end_of(task) for task in self._tasks]
 
     async def close(self) -> None:
         """Ends what clients wait for."""
@@ -710,3 +713,10 @@
         if held.failures >= 2:
             actions = dispatcher.silent(worker_id, 'no answer', self.now)
             self._carry_out(vm, actions)
+
+
+def _end_of(task: asyncio.Task) -> model.JobEnd | None:
+    # A client of a VM that was killed gets no answer.
+    if not task.done() or task.cancelled() or task.exception():
+        return None
+    return task.result().end
--- a/tests/dispatching/test_lives.py
+++ b/tests/dispatching/test_lives.py
@@ -454,6 +454,64 @@
         self.list_born(_SECOND + 1)
         self.assertEqual(1, len(self.stops()))
 
+    def _lose_a_start(self, start: dispatching.StartTask) -> None:
+        """Has a start given up, and its task started again."""
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.now += 5
+        self.report('w1', born=_FIRST)
+        [stop] = self.stops()
+        self.answer(stop)
+        self.now += 5
+        self.report('w1', born=_FIRST)
+
+    def test_several_starts_given_up_at_one_worker(self) -> None:
+        """All starts to a worker are late, and its task is tried there.
+
+        A stop bars the lower attempts alone.
+        """
+        self._lose_a_start(self.start())
+        [second] = self.starts()
+        self._lose_a_start(second)
+        [third] = self.starts()
+        self.list_born(_SECOND)
+        self.assertIn(2, [item.attempt for item in self.stops()])
+        # The third is still wanted.
+        self.answer(third)
+        self.now += 5
+        running = ((third, 1.0),)
+        self.report('w1', running, born=_SECOND, worker_clock=7.0)
+        self.assertEqual([], self.starts() + self.stops())
+
+    def test_the_last_of_several_starts_given_up_is_stopped(self) -> None:
+        self._lose_a_start(self.start())
+        [second] = self.starts()
+        self._lose_a_start(second)
+        [third] = self.starts()
+        self.answer(third, model.OrderResult.NO_ROOM)
+        self.list_born(_SECOND)
+        self.assertEqual([2], [item.attempt for item in self.stops()])
+
+    def test_a_start_withdrawn_before_its_answer_was_lost(self) -> None:
+        """Its client left, and it was stopped before it was answered.
+
+        Its end was seen before the answer to the start counted as lost.
+        """
+        start = self.start()
+        self.take(self.dispatcher.withdraw(case.HOME, 'job-1', self.now))
+        [stop] = self.stops()
+        self.answer(stop)
+        self.now += 5
+        self.report('w1', born=_FIRST)
+        self.answer(start, model.OrderResult.UNKNOWN)
+        self.list_born(_SECOND)
+        self.assertEqual([1], [item.attempt for item in self.stops()])
+
+    def test_a_refused_start_is_stopped_nowhere(self) -> None:
+        start = self.start()
+        self.answer(start, model.OrderResult.NO_ROOM)
+        self.list_born(_SECOND)
+        self.assertEqual([], self.stops())
+
     def test_a_start_given_up_long_ago_is_forgotten(self) -> None:
         self._give_up_a_start()
         self.now += 20_000
--- a/tests/dispatching/test_restarts.py
+++ b/tests/dispatching/test_restarts.py
@@ -55,6 +55,25 @@
                 await service.run(1_500.0)
                 self._assert_all_done(service)
 
+    async def test_no_call_is_lost_by_a_restart(self) -> None:
+        """Workers start again between two calls.
+
+        The next one acknowledges ends of before. What may have ended well
+        unseen must not start again; its client hears that it is given up.
+        """
+        service = await self._start()
+        for number in range(4):
+            for worker in service.worker_by_id:
+                await self._submit(service, f'{worker}-{number}', 2)
+                service.restart(worker, 150.0, breaks_calls=False)
+        await service.run(1_500.0)
+        self.assertEqual([], service.doubled)
+        ends = service.ends()
+        done = ends.count(model.JobEnd.COMPLETED)
+        given_up = ends.count(model.JobEnd.GIVEN_UP)
+        self.assertEqual(len(ends), done + given_up)
+        self.assertLess(given_up, len(ends) / 4)
+
     async def test_what_was_lost_is_done_elsewhere_at_once(self) -> None:
         """Half of all workers start again at the same time.
 
