--- a/rosemaryroad/dispatching/_handover.py
+++ b/rosemaryroad/dispatching/_handover.py
@@ -87,6 +87,9 @@
         known = item.index < len(state.tasks)
         if known and state.tasks[item.index].phase is _state.Phase.WAITING:
             state.unseen[item.worker] = lapsed
+            state.placed_by_worker.setdefault(item.worker, []).append(
+                item.index
+            )
 
 
 def _adopt(
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -60,6 +60,7 @@
     for key, order in list(worker.orders_by_key.items()):
         if key not in running and key not in ended:
             _take_absence(context, worker, order, report, now)
+    _bar_late_starts(context, worker, report, now)
 
 
 def _heard(
@@ -221,6 +222,33 @@
     context.requeue(order, now)
 
 
+def _bar_late_starts(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    report: model.WorkerReport,
+    now: float,
+) -> None:
+    """Has orders refused that another dispatcher gave, and that didn't come.
+
+    One that is carried out late isn't in the report. A stop makes the worker
+    refuse it for good.
+    """
+    for state in context.expecting:
+        if report.asked_at < state.came_at:
+            continue
+        for index in state.placed_by_worker.pop(worker.worker.id, ()):
+            task = state.tasks[index]
+            known = context.orders_by_task.get(task.id, {})
+            if task.phase is _state.Phase.WAITING and (
+                worker.worker.id not in known
+            ):
+                order = _state.Order(
+                    task.id, task.attempt, model.Needs(), None, now
+                )
+                context.add_order(worker, order)
+                context.stop(worker, order, 'may start late', now)
+
+
 def _judge_pace(
     context: _context.Context,
     worker: _state.WorkerState,
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -115,6 +115,8 @@
         unseen: Workers that may run tasks of it for another dispatcher
             and have not told since it came, each with the time until
             which that is possible; no task starts before.
+        placed_by_worker: The tasks that were placed by another dispatcher,
+            by workers that haven't told since it came.
         news: What its homes have not been told yet.
         blamed: Workers that were blamed for its failures.
         rank: Its place among the waiting jobs, the lowest first.
@@ -136,6 +138,7 @@
     tasks: list[TaskState]
     started: bool = False
     unseen: dict[str, float] = attrs.field(factory=dict)
+    placed_by_worker: dict[str, list[int]] = attrs.field(factory=dict)
     news: 'JobNews | None' = None
     blamed: set[str] = attrs.field(factory=set)
     rank: tuple[int, float] = (0, 0.0)
--- a/tests/dispatching/test_who_starts.py
+++ b/tests/dispatching/test_who_starts.py
@@ -30,6 +30,9 @@
 # Others have replaced a VM that was stopped for so long.
 _FREEZE_MS = 700.0
 
+# Orders are carried out so late, inside the lease that they name.
+_LATE_MS = (400.0, 600.0, 900.0)
+
 # A client whose connection has broken comes again after this long.
 _COME_AGAIN_MS = 1_300.0
 
@@ -404,3 +407,24 @@
                 _part_vms(service, own)
                 await self._submit(service, 'parted', _LONG_JOBS, others)
                 await self._end(service)
+
+    async def test_an_order_that_outlives_its_deputy_doubles_no_task(
+        self,
+    ) -> None:
+        """A deputy's order is carried out after its jobs have gone on.
+
+        The dispatcher has the same term, and the worker takes both.
+        """
+        for vms, late_ms in itertools.product(_VMS, _LATE_MS):
+            with self.subTest(vms=vms, ms=late_ms):
+                service = await self._start(vms)
+                dispatcher = service.dispatcher()
+                home = _home(service, dispatcher)
+                service.part({home})
+                service.let_through({home}, set(service.worker_by_id))
+                await service.run(1_500.0)
+                self.assertIn(home, service.dispatchers())
+                service.heal()
+                service.hold_up(set(service.worker_by_id), late_ms)
+                await self._submit(service, 'last', 3, {home})
+                await self._end(service)
