--- a/tests/dispatching/test_lives.py
+++ b/tests/dispatching/test_lives.py
@@ -622,6 +622,12 @@
         self.assertEqual([], self.starts())
         self.now += 5
         self.report('w1', born=_SECOND, worker_clock=7.0)
+        # The first dispatcher's order may come to the new life yet.
+        self.assertEqual([], self.starts())
+        [stop] = self.stops()
+        self.answer(stop)
+        self.now += 5
+        self.report('w1', born=_SECOND, worker_clock=self.now)
         self.assertEqual([2], [item.attempt for item in self.starts()])
 
     def test_a_report_of_before_says_nothing_of_the_new_life(self) -> None:
--- a/tests/dispatching/test_who_starts.py
+++ b/tests/dispatching/test_who_starts.py
@@ -425,6 +425,6 @@
                 await service.run(1_500.0)
                 self.assertIn(home, service.dispatchers())
                 service.heal()
-                service.hold_up(set(service.worker_by_id), late_ms)
+                service.delay(set(service.worker_by_id), late_ms)
                 await self._submit(service, 'last', 3, {home})
                 await self._end(service)
