--- a/rosemaryroad/jobserver/_following.py
+++ b/rosemaryroad/jobserver/_following.py
@@ -63,6 +63,7 @@
         self._wait_ms = wait_ms
         self._rest_ms = rest_ms
         self._rested = asyncio.Event()
+        self._is_needed = False
         self._row_by_key: dict[str, platform.Row] = {}
         self._version: int | None = None
         self._failures = 0
@@ -97,12 +98,17 @@
                 await self._rest()
 
     def hurry(self) -> None:
-        """Ends a rest; the rows are needed now."""
+        """Has the table read whole now, after a rest that may be long.
+
+        The store tells changes in order, some hundred at a time; those of a
+        long rest would be known a few rests later only.
+        """
+        self._is_needed = True
         self._rested.set()
 
     async def _rest(self) -> None:
         rest_ms = self._rest_ms()
-        if rest_ms <= 0:
+        if rest_ms <= 0 or self._is_needed:
             return
         self._rested.clear()
         with contextlib.suppress(TimeoutError):
@@ -112,7 +118,8 @@
     async def _step(self) -> None:
         # After an outage the table is read whole: entries that lapsed
         # meanwhile may have come and gone without a change being kept.
-        if self._version is None or self._failures:
+        if self._version is None or self._failures or self._is_needed:
+            self._is_needed = False
             found = await self._tables.snapshot(self._table)
             self._row_by_key = {row.key: row for row in found.rows}
             self._version = found.version
--- a/rosemaryroad/jobserver/_handler.py
+++ b/rosemaryroad/jobserver/_handler.py
@@ -18,6 +18,10 @@
     ) -> None:
         """The division into cells is known; it stays as it is."""
 
+    @abc.abstractmethod
+    def claiming(self) -> None:
+        """This VM is about to dispatch a cell."""
+
     @abc.abstractmethod
     def role_changed(self, cell: int, role: dispatching.Role) -> None:
         """Another VM dispatches a cell, or this one does."""
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -246,6 +246,7 @@
     async def _claim(
         self, election: _election.Election, wanted: dispatching.LeaseRow
     ) -> None:
+        self._handler.claiming()
         await election.claim(wanted)
         self._check_roles()
 
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -222,6 +222,11 @@
         self._dispatching.divide(cells, leaderships)
         self._home.divide(cells)
 
+    def claiming(self) -> None:
+        """Reads the workers while the store takes the claim."""
+        if not self._dispatching.is_acting:
+            self._workers_follower.hurry()
+
     def role_changed(self, cell: int, role: dispatching.Role) -> None:
         """Follows whoever dispatches a cell now."""
         acts = role.claim is not model.Claim.NONE
--- a/tests/jobserver/test_following.py
+++ b/tests/jobserver/test_following.py
@@ -48,6 +48,32 @@
         pass
 
 
+class _InOrder(_Silent):
+    """A store that tells changes in order, a hundred at a time."""
+
+    _AT_ONCE = 100
+
+    def __init__(self, time: clock.Clock) -> None:
+        super().__init__(time)
+        self.version = 1
+        self.leaving = False
+
+    async def snapshot(self, table: str) -> platform.Changes:
+        rows = (self._row('leaving'),) if self.leaving else ()
+        return platform.Changes(rows, (), self.version)
+
+    async def changes(
+        self, table: str, after: int, wait_ms: float
+    ) -> platform.Changes:
+        last = min(after + self._AT_ONCE, self.version)
+        is_last = last == self.version and self.leaving
+        rows = (self._row('leaving' if is_last else 'other'),)
+        return platform.Changes(rows, (), last)
+
+    def _row(self, key: str) -> platform.Row:
+        return platform.Row(key, '', self.version)
+
+
 class FollowingTest(unittest.IsolatedAsyncioTestCase):
     """What the store knows is known here soon, whatever became of a call."""
 
@@ -83,3 +109,34 @@
         for _ in range(_TURNS):
             await asyncio.sleep(0)
         self.assertLessEqual(known_at['leaving'], 3_000.0)
+
+    async def test_a_long_rest_is_made_up_for_at_once(self) -> None:
+        """A VM that has rested takes over, and a worker leaves meanwhile.
+
+        Told a hundred changes at a time, with a rest after each, the new
+        dispatcher gave the worker tasks for seconds.
+        """
+        time = clock.ManualClock()
+        tables = _InOrder(time)
+        known: set[str] = set()
+        follower = _following.TableFollower(
+            tables,
+            'workers',
+            known.update,
+            time,
+            random.Random(1),
+            _metrics.JobMetrics('entry-1'),
+            _node._WORKERS_WAIT_MS,
+            lambda: 60_000.0,
+        )
+        task = asyncio.create_task(follower.run())
+        self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
+        self.addCleanup(task.cancel)
+        for _ in range(_TURNS):
+            await asyncio.sleep(0)
+        tables.version = 2_000
+        tables.leaving = True
+        follower.hurry()
+        for _ in range(_TURNS):
+            await asyncio.sleep(0)
+        self.assertIn('leaving', known)
