--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -184,13 +184,22 @@
         """Whether this VM gives orders, or is about to."""
         return self._claiming or self._claim is not model.Claim.NONE
 
-    def acts_elsewhere(self, elsewhere: bool) -> None:
-        """Takes in whether this VM gives orders in another cell.
-
-        It comes after those that don't: with two cells at one VM, both would
-        have half of its processor, and both would be lost with it.
+    def take_elsewhere(
+        self, others: collections.abc.Iterable['Leadership']
+    ) -> None:
+        """Takes in what this VM does in the other cells.
+
+        One that gives orders there comes after those that don't: with two
+        cells at one VM, both would have half of its processor, and both
+        would be lost with it. One that has stepped aside there is too slow
+        here as well. Idle, it doesn't look so; VMs that slow down together
+        would take each other's cells, and orders go on timing out while
+        sound VMs stand by.
         """
-        self._elsewhere = elsewhere
+        self._elsewhere = False
+        for other in others:
+            self._elsewhere = self._elsewhere or other.is_acting
+            self._aside_until = max(self._aside_until, other._aside_until)
 
     def heard_from(self, vm: str, now: float) -> None:
         """Takes in a message that is no sign of life, and shows it as well.
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -217,6 +217,10 @@
         for election in self._elections:
             election.leadership.tick(now)
             silent.update(election.leadership.silent(now))
+        # Before the roles are told: the others have to know at once that a VM
+        # which steps aside in one cell is no candidate in the others.
+        for election in self._elections:
+            self._take_elsewhere(election)
         for vm in silent:
             logs.event(_LOG, logging.INFO, 'peer_silent', vm=vm)
             self._links.drop(vm)
@@ -235,14 +239,16 @@
 
     def _claim_cells(self, now: float) -> None:
         for election in self._elections:
-            others = (item for item in self._elections if item is not election)
-            election.leadership.acts_elsewhere(
-                any(other.leadership.is_acting for other in others)
-            )
+            self._take_elsewhere(election)
             wanted = election.leadership.wants_claim(now)
             if wanted is not None:
                 self._background.spawn(self._claim(election, wanted))
 
+    def _take_elsewhere(self, election: _election.Election) -> None:
+        election.leadership.take_elsewhere(
+            item.leadership for item in self._elections if item is not election
+        )
+
     async def _claim(
         self, election: _election.Election, wanted: dispatching.LeaseRow
     ) -> None:
--- a/tests/dispatching/played_group.py
+++ b/tests/dispatching/played_group.py
@@ -4,6 +4,8 @@
 and tests cut links, stop VMs for a while or kill them.
 """
 
+import collections.abc
+
 import attrs
 
 from rosemaryroad import dispatching
@@ -261,6 +263,19 @@
         for group in self.by_cell:
             group.kill(name)
 
+    def slow_down_at_work(
+        self, names: collections.abc.Iterable[str], tick_ms: float
+    ) -> None:
+        """Lets VMs look at the time this seldom while they give orders."""
+        for group in self.by_cell:
+            for name in names:
+                vm = group.vm_by_name[name]
+                acts = any(
+                    other.vm_by_name[name].leadership.is_acting
+                    for other in self.by_cell
+                )
+                vm.tick_ms = tick_ms if acts else dispatching.TICK_MS
+
     def dispatchers(self) -> list[str]:
         """Returns the VM that all follow in each cell, or ''."""
         return [
@@ -271,9 +286,6 @@
     def _tell_elsewhere(self, group: PlayedGroup) -> None:
         others = [other for other in self.by_cell if other is not group]
         for name, vm in group.vm_by_name.items():
-            vm.leadership.acts_elsewhere(
-                any(
-                    other.vm_by_name[name].leadership.is_acting
-                    for other in others
-                )
+            vm.leadership.take_elsewhere(
+                other.vm_by_name[name].leadership for other in others
             )
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -41,6 +41,23 @@
         self.cells.run(2_000)
         self.assertEqual([_SEVEN[0]] * 3, self.cells.dispatchers())
 
+    def test_slow_vms_do_not_exchange_their_cells(self) -> None:
+        """Two VMs that each dispatch a cell slow down at a time.
+
+        Idle, neither looks late, so each takes the cell that the other has
+        given up; most jobs of both are refused while sound VMs stand by.
+        """
+        self.cells.run(3_000)
+        slow = self.cells.dispatchers()[:2]
+        for step in range(150):
+            # They notice it some 200 ms apart, as their loads differ.
+            late = slow if step >= 20 else slow[:1]
+            self.cells.slow_down_at_work(late, 60.0)
+            self.cells.run(10)
+        dispatchers = self.cells.dispatchers()
+        self.assertNotIn('', dispatchers)
+        self.assertEqual(set(), set(slow) & set(dispatchers))
+
 
 class FirstElectionTest(unittest.TestCase):
     """VMs of different strength start together."""
