--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -8,6 +8,7 @@
 from rosemaryroad.dispatching._actions import TellHome
 from rosemaryroad.dispatching._cells import Cells
 from rosemaryroad.dispatching._cells import cells_for
+from rosemaryroad.dispatching._cells import FirstDivision
 from rosemaryroad.dispatching._context import DispatchLimits
 from rosemaryroad.dispatching._dispatcher import JobDispatcher
 from rosemaryroad.dispatching._leadership import CLAIM_TIMEOUT_MS
@@ -24,6 +25,7 @@
     'Cells',
     'DispatchLimits',
     'DispatcherLoad',
+    'FirstDivision',
     'JobDispatcher',
     'Leadership',
     'LeaseRow',
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -19,12 +19,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-# When the very first VMs start, the workers' entries come up at the same
-# time; a division by the few that are there at first would be too coarse
-# for good.
-_CELLS_AFTER_MS = 1_000.0
-
-
 # A VM that reads the store has a new configuration some 100 ms after the
 # others, and has to have it within two seconds.
 _QUEUES_PATIENCE_MS = 600.0
@@ -108,7 +102,8 @@
         self._cells: dispatching.Cells | None = None
         self._elections = [self._make_election(0)]
         self._rows: collections.abc.Mapping[str, platform.Row] = {}
-        self._propose_at = clock.now() + _CELLS_AFTER_MS
+        self._first_division = dispatching.FirstDivision(clock.now())
+        self._propose_at = clock.now()
         self._pulse_at = 0.0
         self._told_at_by_vm: dict[str, float] = {}
         self._queues_sharing = _sharing.Sharing(vm.vm, _QUEUES_PATIENCE_MS)
@@ -122,6 +117,11 @@
         """How many times as seldom the VMs of a large group do things."""
         return self._elections[0].leadership.pace.stride
 
+    @property
+    def knows_cells(self) -> bool:
+        """Whether the number of cells is known."""
+        return self._cells is not None
+
     @property
     def roles(self) -> list[dispatching.Role]:
         """What this VM does in each cell, as it is known so far."""
@@ -306,14 +306,13 @@
     def _propose_cells(self, now: float) -> None:
         """Writes how many cells there are, if nobody has done so yet."""
         workers = self._workers()
-        if self._cells is not None or not workers or not self._vms:
+        if self._cells is not None or workers is None or not self._vms:
             return
-        if now < self._propose_at:
+        cells = self._first_division.cells(len(workers), now)
+        if cells is None or now < self._propose_at:
             return
         self._propose_at = now + _rows.WRITE_AGAIN_MS
-        self._background.spawn(
-            self._write_cells(dispatching.cells_for(len(workers)))
-        )
+        self._background.spawn(self._write_cells(cells))
 
     async def _write_cells(self, cells: dispatching.Cells) -> None:
         if await _rows.propose_cells(self._tables, cells):
@@ -374,7 +373,9 @@
         """Tells a peer that has just started what it may not read itself."""
         workers = self._workers()
         theirs = all(pulse.informed for pulse in message.by_cell)
-        own = workers is not None and bool(self._vms)
+        # Before the first division nobody is informed, and all VMs would send
+        # each other everything.
+        own = self.knows_cells and workers is not None and bool(self._vms)
         now = self._clock.now()
         if self._directory_sharing.is_due(vm, theirs, own, now):
             self._links.tell(vm, model.DirectoryShared(workers, self._vms))
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -340,7 +340,8 @@
             logs.event(_LOG, logging.INFO, 'readiness_changed', ready=ready)
 
     def _workers_rest_ms(self) -> float:
-        if self._dispatching.is_acting:
+        # The first division goes by the number of workers that are listed.
+        if self._dispatching.is_acting or not self._members.knows_cells:
             return _WORKERS_REST_MS
         return _WORKERS_IDLE_REST_MS * self._members.stride
 
--- a/tests/dispatching/test_cells.py
+++ b/tests/dispatching/test_cells.py
@@ -38,3 +38,33 @@
     def test_there_is_at_least_one(self) -> None:
         with self.assertRaises(ValueError):
             dispatching.Cells(0)
+
+
+class FirstDivisionTest(unittest.TestCase):
+    """A deployment of 176 workers starts for the first time."""
+
+    def test_workers_that_come_up_one_after_the_other_all_count(self) -> None:
+        """A VM reads the list when the first few entries are there.
+
+        Divided by them, the deployment had one cell for good, and one
+        dispatcher for all of its workers.
+        """
+        division = dispatching.FirstDivision(0.0)
+        found = None
+        now = 0.0
+        while found is None:
+            now += 30.0
+            workers = min(176, 5 + int(now // 25))
+            found = division.cells(workers, now)
+        self.assertEqual(3, found.count)
+        self.assertLess(now, 7_000)
+
+    def test_workers_that_come_and_go_hold_nobody_up(self) -> None:
+        division = dispatching.FirstDivision(0.0)
+        found = None
+        now = 0.0
+        while found is None:
+            now += 500.0
+            found = division.cells(170 + int(now // 500) % 2, now)
+        self.assertEqual(3, found.count)
+        self.assertLess(now, 10_000)
--- a/tests/processes/test_jobs.py
+++ b/tests/processes/test_jobs.py
@@ -4,6 +4,7 @@
 import re
 
 from tests.processes import job_case
+from tests.standins import job_minion
 
 
 class _LoadCase(job_case.JobCase):
@@ -218,3 +219,30 @@
             ):
                 await asyncio.sleep(0.05)
         self.assert_no_overlap()
+
+
+class FirstStartTest(_LoadCase):
+    """Daemons start for the first time, and their workers with them."""
+
+    MINIONS = 1
+
+    async def add_minion(self, minion_id: str) -> job_minion.JobMinion:
+        """Starts a minion; the entries of others follow its own."""
+        minion = await super().add_minion(minion_id)
+        self.listing = asyncio.create_task(self._list_others(minion.entry()))
+        self.addCleanup(self.listing.cancel)
+        return minion
+
+    async def _list_others(self, entry: dict[str, object]) -> None:
+        for number in range(100):
+            self.store.put('servers', f'later-{number}', entry)
+            await asyncio.sleep(0.04)
+
+    async def test_the_cells_go_by_all_workers(self) -> None:
+        """Workers' entries come up for four seconds.
+
+        Divided by the few that the first daemon reads, all of them would be
+        one dispatcher's for good.
+        """
+        cells = self.store.value('rosemaryroad', 'cells')
+        self.assertEqual({'count': 2}, cells)
