--- a/rosemaryroad/dispatching/_roles.py
+++ b/rosemaryroad/dispatching/_roles.py
@@ -38,14 +38,12 @@
     return -int(claim), -term, vm
 
 
-def preference(
-    vm: str, pulse: model.Pulse
-) -> tuple[bool, bool, float, int, str]:
-    """Returns what the VM that should act first has the lowest of."""
-    return (
-        not pulse.settled,
-        pulse.elsewhere,
-        -pulse.cores,
-        -pulse.started,
-        vm,
-    )
+def preference(vm: str, pulse: model.Pulse) -> tuple[bool, float, int, str]:
+    """Returns what the VM that should act first has the lowest of.
+
+    One that gives orders in another cell has half of its processor for this
+    one. That may still be more than the whole of a weak VM, which can't keep
+    up with a cell at the usual load.
+    """
+    cores = pulse.cores / 2 if pulse.elsewhere else pulse.cores
+    return (not pulse.settled, -cores, -pulse.started, vm)
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -59,6 +59,25 @@
         self.assertEqual(set(), set(slow) & set(dispatchers))
 
 
+class UnequalCellsTest(unittest.TestCase):
+    """Fewer strong VMs than cells, and weak ones beside them."""
+
+    def test_a_weak_vm_gets_no_cell_that_a_strong_one_can_take(self) -> None:
+        """The only idle VMs have a quarter of the strong ones' processor.
+
+        At the usual load of a cell their orders time out, and nearly
+        nothing is served.
+        """
+        cells = played_group.PlayedCells(3)
+        for group in cells.by_cell:
+            for name in _SEVEN:
+                group.add(name, cores=0.5)
+            for name in ('x1', 'x2'):
+                group.add(name, cores=2.0)
+        cells.run(2_000)
+        self.assertEqual({'x1', 'x2'}, set(cells.dispatchers()))
+
+
 class FirstElectionTest(unittest.TestCase):
     """VMs of different strength start together."""
 
