--- a/rosemaryroad/dispatching/_checks.py
+++ b/rosemaryroad/dispatching/_checks.py
@@ -6,9 +6,10 @@
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
 
-# An order to stop that gets no answer is repeated this often; an answer
-# takes a few milliseconds.
+# An order to stop that gets no answer is repeated after this long, an answer
+# taking a few milliseconds, and more seldom each time.
 _STOP_AGAIN_MS = 200.0
+_MOST_DOUBLINGS = 3
 
 
 def check_worker(
@@ -27,7 +28,7 @@
     for order in list(worker.orders_by_key.values()):
         if (
             order.phase is _state.OrderPhase.STOPPING
-            and now - order.stop_sent_at >= _STOP_AGAIN_MS
+            and now - order.stop_sent_at >= _stop_again_ms(order)
         ):
             context.stop(worker, order, 'stop unanswered', now)
         elif order.phase in (
@@ -39,3 +40,9 @@
                 context.ask(_actions.LookAt(worker.worker.id))
         elif not looked:
             looked = _reports.look_if_overdue(context, worker, order, now)
+
+
+def _stop_again_ms(order: _state.Order) -> float:
+    # The second follows the first at once, where its answer is lost.
+    doublings = min(max(0, order.stops - 2), _MOST_DOUBLINGS)
+    return _STOP_AGAIN_MS * 2**doublings
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -162,6 +162,7 @@
         if order.phase is not _state.OrderPhase.STOPPED:
             order.phase = _state.OrderPhase.STOPPING
         order.stop_sent_at = now
+        order.stops += 1
         self.ask(
             _actions.StopTask(
                 worker.worker.id,
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -225,8 +225,11 @@
             return []
         if reply.result is model.OrderResult.UNKNOWN:
             # Its room and its task wait for this answer; the lost one has
-            # been waited for already.
-            if order.phase is _state.OrderPhase.STOPPING:
+            # been waited for already. Where the next is lost as well, this
+            # VM may itself be too slow to read them, and more would only
+            # add to that.
+            stopping = order.phase is _state.OrderPhase.STOPPING
+            if stopping and order.stops == 1:
                 self._context.stop(worker, order, 'stop unanswered', now)
             return self._context.take_actions()
         if reply.result is not model.OrderResult.DONE:
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -49,6 +49,7 @@
         percent: The progress that the worker told last.
         moved_at: When that progress last changed.
         stop_sent_at: When it was last told to stop.
+        stops: How often it was told to.
         adopted: Whether another dispatcher started it, so that it is not
             known how long it has run.
     """
@@ -63,6 +64,7 @@
     percent: float = 0.0
     moved_at: float = 0.0
     stop_sent_at: float = 0.0
+    stops: int = 0
     adopted: bool = False
 
 
--- a/tests/dispatching/test_workers.py
+++ b/tests/dispatching/test_workers.py
@@ -141,6 +141,29 @@
         [again] = self.starts()
         self.assertEqual(2, again.attempt)
 
+    def test_stops_that_get_no_answer_do_not_multiply(self) -> None:
+        """A VM with more work than it can do reads answers 300 ms late.
+
+        All count as lost by then. Repeated for each such answer and by the
+        time as well, stops took the whole processor, and nothing was served
+        any more.
+        """
+        start = self._lose()
+        self.now += 5
+        self.report(start.worker)
+        under_way = [(self.now + 300, stop) for stop in self.stops()]
+        sent = len(under_way)
+        for _ in range(100):
+            self.pass_time(30)
+            due = [stop for at, stop in under_way if at <= self.now]
+            under_way = [item for item in under_way if item[0] > self.now]
+            for stop in due:
+                self.answer(stop, model.OrderResult.UNKNOWN)
+            again = self.stops()
+            sent += len(again)
+            under_way += [(self.now + 300, stop) for stop in again]
+        self.assertLess(sent, 10)
+
     def test_a_start_that_was_carried_out(self) -> None:
         """Only the answer was lost; the task runs and stays."""
         start = self._lose()
