--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -53,6 +53,7 @@
         percent: The progress that the worker told last.
         moved_at: When that progress last changed.
         stop_sent_at: When it was last told to stop.
+        stops: How often it was told to.
         adopted: Whether another dispatcher started it, so that it is not
             known how long it has run.
         is_foreign: Whether another dispatcher started it and no home here
@@ -78,6 +79,7 @@
     percent: float = 0.0
     moved_at: float = 0.0
     stop_sent_at: float = 0.0
+    stops: int = 0
     adopted: bool = False
     is_foreign: bool = False
     begun_at: float | None = None
