--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -162,6 +162,7 @@
     order.since_clock = 0.0
     order.since_asked = order.begun_at or 0.0
     order.moved_at = now
+    order.stops = 0
     if order.phase in (
         _state.OrderPhase.STOPPING,
         _state.OrderPhase.STOPPED,
