--- a/harness/jobs.py
+++ b/harness/jobs.py
@@ -101,13 +101,14 @@
 
 
 def job_body(
-    tasks: int, estimate_ms: int, **step: object
+    tasks: int, estimate_ms: int, payload: str = 'payload', **step: object
 ) -> dict[str, object]:
     """Returns a job of one step, as its caller hands it in.
 
     Args:
         tasks: How many tasks it has.
         estimate_ms: What the caller thinks that one takes.
+        payload: What each of them is given.
         **step: More fields of the step, or others in place of these.
     """
     first = {
@@ -117,7 +118,7 @@
         'est_ms': estimate_ms,
     }
     return {
-        'spec': 'payload',
+        'spec': payload,
         'best_effort': True,
         'steps': [first | step],
     }
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -175,6 +175,20 @@
     ]
 
 
+def all_work(world: world_module.World, since: float) -> list[Broken]:
+    """Returns the workers that got none of more tasks than all have room for.
+
+    Args:
+        world: What was played.
+        since: When these were handed in, by the steady clock.
+    """
+    return [
+        Broken('every worker is given tasks again', worker.id)
+        for worker in world.workers
+        if not any(run.began >= since for run in worker.runs)
+    ]
+
+
 def served(
     asked: collections.abc.Iterable[clients_module.Asked],
 ) -> list[Broken]:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -15,6 +15,13 @@
 # What clients think a task takes; workers take 60 to 400 ms.
 _ESTIMATE_MS = 150
 
+# Some tasks outlive a lease of 1 s; in each run so many of all jobs have
+# such ones.
+LONG_SHARES = (0.03, 0.1, 0.2)
+_LONG_WORK_MS = (1_400, 3_200)
+_DEADLINES_MS = (1_500, 2_300, 4_000)
+_LONG_DEADLINES_MS = (4_000, 6_000)
+
 # When a client without an answer comes again, as the platform says.
 _AGAIN_S = 1.3
 _TRIES = 4
@@ -54,10 +61,19 @@
 
 @attrs.define
 class Asked:
-    """A job as its client knows it."""
+    """A job as its client knows it.
+
+    Attributes:
+        job: Its id.
+        tasks: How many tasks it has.
+        long_ms: How long each of them takes, 0 for as long as the worker
+            takes for most.
+        tries: When it was handed in.
+    """
 
     job: str
     tasks: int
+    long_ms: int = 0
     tries: list[Try] = attrs.field(factory=list)
 
     @property
@@ -72,12 +88,20 @@
         return bool(refused) and all(refused)
 
 
+def draw_size(rng: random.Random, long_share: float) -> tuple[int, int]:
+    """Returns how many tasks a job has, and its ``Asked.long_ms``."""
+    if rng.random() < long_share:
+        return 1, rng.choice(_LONG_WORK_MS)
+    return rng.choice((1, 1, 2, 4, 8)), 0
+
+
 class Clients:
     """Hands jobs in at random and keeps connections open.
 
     Args:
         callers: Where each daemon serves callers.
-        prefix: Returns the prefix of the queue that is in force.
+        prefix: The prefix of the queue of most jobs.
+        long_prefix: That of jobs whose tasks outlive a lease.
         is_up: Tells whether the balancer sends callers to a daemon.
         rng: Where the load comes from.
     """
@@ -86,12 +110,14 @@
         self,
         callers: collections.abc.Sequence[str],
         prefix: str,
+        long_prefix: str,
         is_up: collections.abc.Callable[[int], bool],
         rng: random.Random,
     ) -> None:
         self.asked: list[Asked] = []
         self._callers = callers
         self._prefix = prefix
+        self._long_prefix = long_prefix
         self._is_up = is_up
         self._rng = rng
         self._session: aiohttp.ClientSession | None = None
@@ -111,14 +137,19 @@
 
     async def press(self, jobs_per_s: float, seconds: float) -> None:
         """Hands jobs in for a while; their answers come later."""
+        long_share = self._rng.choice(LONG_SHARES)
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            self.start(self._pick(), self._rng.choice((1, 1, 2, 4, 8)))
+            tasks, long_ms = draw_size(self._rng, long_share)
+            self.start(self._pick(), tasks, long_ms=long_ms)
             await asyncio.sleep(self._rng.expovariate(jobs_per_s))
 
-    def start(self, daemon: int, tasks: int, tries: int = _TRIES) -> Asked:
+    def start(
+        self, daemon: int, tasks: int, tries: int = _TRIES, long_ms: int = 0
+    ) -> Asked:
         """Hands one job in."""
-        asked = Asked(f'{self._rng.getrandbits(64):016x}', tasks)
+        job = f'{self._rng.getrandbits(64):016x}'
+        asked = Asked(job, tasks, long_ms)
         self.asked.append(asked)
         task = asyncio.create_task(self._ask(asked, daemon, tries))
         self._tasks.add(task)
@@ -131,7 +162,9 @@
             await asyncio.gather(*list(self._tasks))
 
     async def _ask(self, asked: Asked, daemon: int, tries: int) -> None:
-        deadline_ms = self._rng.choice((1_500, 2_300, 4_000))
+        deadline_ms = self._rng.choice(
+            _LONG_DEADLINES_MS if asked.long_ms else _DEADLINES_MS
+        )
         for _ in range(tries):
             found = Try(daemon, time.monotonic())
             asked.tries.append(found)
@@ -147,9 +180,8 @@
             async with (
                 asyncio.timeout(deadline_ms / _MS_PER_SECOND + _GRACE_S),
                 self._session.post(
-                    f'http://{self._callers[found.daemon]}'
-                    f'{self._prefix}{asked.job}',
-                    json=jobs.job_body(asked.tasks, _ESTIMATE_MS),
+                    self._url(asked, found.daemon),
+                    json=_body(asked),
                     headers={
                         'Host': jobs.HOST,
                         'X-Deadline-Ms': str(deadline_ms),
@@ -164,7 +196,17 @@
         except aiohttp.ClientError:
             found.status = _BROKEN
 
+    def _url(self, asked: Asked, daemon: int) -> str:
+        prefix = self._long_prefix if asked.long_ms else self._prefix
+        return f'http://{self._callers[daemon]}{prefix}{asked.job}'
+
     def _pick(self) -> int:
         numbers = range(len(self._callers))
         ready = [number for number in numbers if self._is_up(number)]
         return self._rng.choice(ready or list(numbers))
+
+
+def _body(asked: Asked) -> dict[str, object]:
+    if not asked.long_ms:
+        return jobs.job_body(asked.tasks, _ESTIMATE_MS)
+    return jobs.job_body(asked.tasks, asked.long_ms, str(asked.long_ms))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,9 @@
 # How soon a worker's entry goes after it has crashed.
 _ENTRY_GOES_S = 1.0
 
+# Orders get lost on the way to one worker in so many.
+_DEAF_SPACING = 3
+
 
 async def play(
     world: _World, faults: collections.abc.Iterable[plan.Fault]
@@ -93,13 +96,18 @@
     fault: plan.Fault,
 ) -> _Undo:
     # A side has the workers of its daemons' failure domains.
-    effect = network.Effect(
-        fault.daemons,
-        world.addresses(fault.daemons),
-        mode,
-        one_way,
-        delay_ms,
+    workers = world.addresses(fault.daemons)
+    return _begin_effect(
+        world,
+        network.Effect(fault.daemons, workers, mode, one_way, delay_ms),
     )
+
+
+async def _part(world: _World, fault: plan.Fault) -> _Undo:
+    return _begin_effect(world, network.Effect(fault.daemons, None, _Mode.CUT))
+
+
+def _begin_effect(world: _World, effect: network.Effect) -> _Undo:
     world.network.begin(effect)
 
     async def undo() -> None:
@@ -123,6 +131,18 @@
     return forget
 
 
+async def _restart_worker(world: _World, fault: plan.Fault) -> _Undo:
+    worker = world.workers[fault.worker]
+    worker.restart()
+
+    async def undo() -> None:
+        # Until then only its answers tell of its new life.
+        if worker in world.workers:
+            world.list_worker(worker, 'ready')
+
+    return undo
+
+
 async def _drain_worker(world: _World, fault: plan.Fault) -> _Undo:
     worker = world.workers[fault.worker]
     world.list_worker(worker, 'draining')
@@ -147,11 +167,24 @@
     return undo
 
 
+async def _lose_orders(world: _World, fault: plan.Fault) -> _Undo:
+    first = fault.worker % _DEAF_SPACING
+    spoiled = world.workers[first::_DEAF_SPACING]
+    for worker in spoiled:
+        worker.faults.lose_orders = True
+
+    async def undo() -> None:
+        for worker in spoiled:
+            worker.faults.lose_orders = False
+
+    return undo
+
+
 async def _change_queues(world: _World, _: plan.Fault) -> _Undo:
-    world.put_queues(world_module.PREFIX, '/brief/')
+    world.put_queues('/brief/')
 
     async def undo() -> None:
-        world.put_queues(world_module.PREFIX)
+        world.put_queues()
 
     return undo
 
@@ -188,17 +221,20 @@
     _Kind.STORE_GARBLES: _store('garble', True),
     _Kind.STORE_FORGETS: _forget_history,
     _Kind.CUT: _net(_Mode.CUT),
+    _Kind.PARTED: _part,
     _Kind.SILENCE: _net(_Mode.HOLD),
     _Kind.ONE_WAY: _net(_Mode.HOLD, one_way=True),
     _Kind.DROP: _net(_Mode.DROP),
     _Kind.DELAY: _net(_Mode.PASS, delay_ms=_DELAY_MS),
     _Kind.LINKS_DIE: _kill_links,
     _Kind.WORKER_CRASHES: _crash_worker,
+    _Kind.WORKER_RESTARTS: _restart_worker,
     _Kind.WORKER_LEAVES: _drain_worker,
     _Kind.WORKER_LOSES: _worker('lose_answers', True),
     _Kind.WORKER_FAILS: _worker('fail_all', True),
     _Kind.WORKER_HANGS: _worker('hang', True),
     _Kind.WORKER_REFUSES: _worker('status', 503),
+    _Kind.ORDERS_LOST: _lose_orders,
     _Kind.QUEUES: _change_queues,
     _Kind.DAMAGED_ROW: _damage_row,
 }
--- a/soak/network.py
+++ b/soak/network.py
@@ -19,14 +19,15 @@
 
     Attributes:
         daemons: The daemons of one side.
-        workers: The addresses of the workers of that side.
+        workers: The addresses of the workers of that side, or None where
+            both sides reach all.
         mode: What happens to bytes and connections.
         one_way: Whether bytes of those who connect pass all the same.
         delay_ms: How long bytes are delayed.
     """
 
     daemons: _Side
-    workers: collections.abc.Collection[str] = ()
+    workers: collections.abc.Collection[str] | None = ()
     mode: _Mode = _Mode.PASS
     one_way: bool = False
     delay_ms: float = 0.0
@@ -114,6 +115,8 @@
         daemon, address = ends
         owner = self._owner_by_address[address]
         if owner is None:
+            if effect.workers is None:
+                return False
             is_near = address in effect.workers
         else:
             is_near = owner in effect.daemons
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from harness import jobs
+
 # Faults are drawn so that two or three overlap most of the time.
 _MEAN_GAP_S = 0.9
 _LENGTHS_S = (0.3, 0.8, 1.5, 3.0)
@@ -29,17 +31,20 @@
     STORE_GARBLES = 'store garbles'
     STORE_FORGETS = 'store forgets'
     CUT = 'cut'
+    PARTED = 'daemons parted'
     SILENCE = 'silence'
     ONE_WAY = 'one way'
     DROP = 'drop'
     DELAY = 'delay'
     LINKS_DIE = 'links die'
     WORKER_CRASHES = 'worker crashes'
+    WORKER_RESTARTS = 'worker starts again'
     WORKER_LEAVES = 'worker leaves'
     WORKER_LOSES = 'worker loses answers'
     WORKER_FAILS = 'worker fails all'
     WORKER_HANGS = 'worker hangs'
     WORKER_REFUSES = 'worker refuses'
+    ORDERS_LOST = 'orders to workers lost'
     QUEUES = 'queues change'
     DAMAGED_ROW = 'damaged row'
 
@@ -48,6 +53,7 @@
 DAEMON_KINDS = (Kind.KILL, Kind.LEAVE, Kind.FREEZE)
 NETWORK_KINDS = (
     Kind.CUT,
+    Kind.PARTED,
     Kind.SILENCE,
     Kind.ONE_WAY,
     Kind.DROP,
@@ -55,6 +61,12 @@
     Kind.LINKS_DIE,
 )
 
+# These make two dispatchers out of one, or let one's orders get lost; the cut
+# of a failure domain makes one of them take tasks for lapsed meanwhile.
+_KINDS_BESIDE_A_CUT = (Kind.ORDERS_LOST, Kind.PARTED)
+_CUT_KINDS = (Kind.CUT, Kind.SILENCE, Kind.DROP)
+_CUT_LENGTHS_S = (1.5, 3.0)
+
 
 @attrs.frozen
 class Shape:
@@ -113,6 +125,8 @@
     while at_s < shape.seconds:
         fault = _draw_one(rng, shape, at_s, rng.choice(kinds))
         found.append(fault)
+        if fault.kind in _KINDS_BESIDE_A_CUT:
+            found.append(_draw_cut_beside(rng, shape, fault))
         while rng.random() < _SERIES_SHARE and fault.ends_s < shape.seconds:
             gap_s = rng.uniform(0.05, 1.0)
             fault = attrs.evolve(fault, at_s=fault.ends_s + gap_s)
@@ -137,3 +151,15 @@
         frozenset(chosen),
         rng.randrange(shape.workers),
     )
+
+
+def _draw_cut_beside(rng: random.Random, shape: Shape, fault: Fault) -> Fault:
+    """Draws the cut of a failure domain that begins during a fault."""
+    everyone = range(shape.daemons)
+    domain = jobs.domain_of(rng.choice(everyone))
+    return Fault(
+        round(fault.at_s + rng.uniform(0.0, fault.for_s), 3),
+        rng.choice(_CUT_LENGTHS_S),
+        rng.choice(_CUT_KINDS),
+        frozenset(n for n in everyone if jobs.domain_of(n) == domain),
+    )
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,7 @@
 """Plays one seed."""
 
 import asyncio
+import math
 import pathlib
 import random
 import tempfile
@@ -21,6 +22,11 @@
 # What nobody waits for is stopped, or lapses, within a lease and a round.
 _STOPPED_S = 2.5
 
+# How many jobs of two tasks each daemon is given at least once the faults are
+# over. Workers have room for two tasks, and each of them is to get some.
+_PROBES = 3
+_PROBES_PER_WORKER = 1.5
+
 
 @attrs.frozen
 class Outcome:
@@ -61,6 +67,7 @@
     clients = clients_module.Clients(
         callers,
         world_module.PREFIX,
+        world_module.LONG_PREFIX,
         lambda number: world.daemons[number].is_ready,
         random.Random(seed),
     )
@@ -76,16 +83,15 @@
         await asyncio.sleep(_CALM_S)
         if not await world.is_ready():
             return _not_ready(world, seed, 'after the faults')
-        probes = [
-            clients.start(number, tasks=2, tries=1)
-            for number in range(shape.daemons)
-            for _ in range(3)
-        ]
-        await clients.finish()
+        since = time.monotonic()
+        probes = await _probe_at_once(clients, shape)
+        if shape.cells > 1:
+            probes = await _probe_in_turn(clients, shape)
         await asyncio.sleep(_STOPPED_S)
         broken = checks.judge(world, clients.asked, faults, began)
         broken += checks.served(probes)
         broken += checks.nothing_runs(world)
+        broken += checks.all_work(world, since)
     return Outcome(
         seed,
         faults,
@@ -96,6 +102,35 @@
     )
 
 
+async def _probe_at_once(
+    clients: clients_module.Clients, shape: plan.Shape
+) -> list[clients_module.Asked]:
+    """Hands more tasks in at all daemons than the workers have room for."""
+    each = math.ceil(_PROBES_PER_WORKER * shape.workers / shape.daemons)
+    probes = [
+        clients.start(number, tasks=2, tries=1)
+        for number in range(shape.daemons)
+        for _ in range(max(_PROBES, each))
+    ]
+    await clients.finish()
+    return probes
+
+
+async def _probe_in_turn(
+    clients: clients_module.Clients, shape: plan.Shape
+) -> list[clients_module.Asked]:
+    """Hands jobs in at one daemon after another.
+
+    All at once could come to a single cell, which would refuse some.
+    """
+    probes = []
+    for number in range(shape.daemons):
+        for _ in range(_PROBES):
+            probes.append(clients.start(number, tasks=2, tries=1))
+        await clients.finish()
+    return probes
+
+
 def _not_ready(world: world_module.World, seed: int, when: str) -> Outcome:
     broken = [
         checks.Broken(
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import itertools
 import pathlib
 import signal
 import time
@@ -12,12 +13,14 @@
 
 from harness import deployment
 from harness import jobs
+from rosemaryroad import dispatching
 from soak import network
 from soak import plan
 from tests.standins import job_minion
 from tests.standins import job_store
 
 PREFIX = '/lookups/'
+LONG_PREFIX = '/exports/'
 
 # Workers that fail all that they start have to be met twice and more.
 _MAX_ATTEMPTS = 5
@@ -29,6 +32,9 @@
 # Workers' clocks run at the rates that the platform allows.
 _CLOCK_RATES = (1.0, 0.98, 1.0, 0.99)
 
+# One worker in so many is older and doesn't tell when its life began.
+_TELL_BORN_SPACING = 4
+
 # The balancer looks this often, and gives a daemon up after two misses.
 _LOOK_S = 0.5
 _MISSES = 2
@@ -144,7 +150,7 @@
         self._folder = folder
         self._stack = contextlib.AsyncExitStack()
         self._tasks: list[asyncio.Task] = []
-        self._numbers = iter(range(1_000_000))
+        self._numbers = itertools.count()
         self._session: aiohttp.ClientSession | None = None
         self.rows = job_store.StoreRows()
         self.stores: list[job_store.JobStore] = []
@@ -158,7 +164,7 @@
         self._session = aiohttp.ClientSession()
         self._stack.push_async_callback(self._session.close)
         self._stack.push_async_callback(self.network.close)
-        self.put_queues(PREFIX)
+        self.put_queues()
         if self._shape.cells > 1:
             cells = {'count': self._shape.cells}
             self.rows.put('rosemaryroad', 'cells', cells)
@@ -168,8 +174,8 @@
             await self.network.add(
                 daemon.peers, self._others(daemon.number), daemon.number
             )
-        for _ in range(self._shape.workers):
-            self.workers.append(await self._make_worker())
+        for number in range(self._shape.workers):
+            self.workers.append(await self._make_worker(number))
         for daemon in self.daemons:
             self._tasks.append(asyncio.create_task(daemon.run()))
             self._tasks.append(asyncio.create_task(self._balance(daemon)))
@@ -203,9 +209,14 @@
             for daemon in self.daemons
         }
 
-    def put_queues(self, *prefixes: str) -> None:
-        """Puts a new version of the operators' queues in force."""
+    def put_queues(self, *more: str) -> None:
+        """Puts a new version of the operators' queues in force.
+
+        Args:
+            *more: The prefixes of queues beside those that jobs come to.
+        """
         self.queues_version += 1
+        prefixes = (PREFIX, LONG_PREFIX, *more)
         body = jobs.queues_body(self.queues_version, prefixes, _MAX_ATTEMPTS)
         self.rows.put('op', 'config', body)
 
@@ -218,7 +229,7 @@
         gone.faults.swallow = True
         self.gone.append(gone)
         await gone.stop()
-        self.workers[number] = await self._make_worker()
+        self.workers[number] = await self._make_worker(number)
         return gone
 
     def remove_entry(self, worker: job_minion.JobMinion) -> None:
@@ -255,14 +266,15 @@
         setup = jobs.DaemonSetup.write(self._folder, number, store.address)
         self.daemons.append(Daemon(number, setup))
 
-    async def _make_worker(self) -> job_minion.JobMinion:
-        number = next(self._numbers)
+    async def _make_worker(self, place: int) -> job_minion.JobMinion:
+        number = self._next_number(place % self._shape.cells)
         rate = _CLOCK_RATES[number % len(_CLOCK_RATES)]
         worker = job_minion.JobMinion(
             f'i{number}',
             work_ms=_WORK_MS[number % len(_WORK_MS)],
             clock_rate=rate,
         )
+        worker.tells_born = number % _TELL_BORN_SPACING != 0
         await worker.start()
         self._stack.push_async_callback(worker.stop)
         await self.network.add(
@@ -271,6 +283,15 @@
         self.list_worker(worker, 'ready')
         return worker
 
+    def _next_number(self, cell: int) -> int:
+        # By its hash alone one of a few cells could be left without workers.
+        cells = dispatching.Cells(self._shape.cells)
+        return next(
+            number
+            for number in self._numbers
+            if cells.of_worker(f'i{number}') == cell
+        )
+
     async def _balance(self, daemon: Daemon) -> None:
         misses = _MISSES
         while True:
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -15,6 +15,8 @@
 
 MS_PER_SECOND = 1000.0
 
+_REPORT_PATH = '/api/hold'
+
 
 @attrs.define
 class MinionFaults:
@@ -24,6 +26,7 @@
         status: Answer every order with this status, 0 for never.
         swallow: Read calls and never answer them; nothing is done.
         lose_answers: Carry orders out and never answer them.
+        lose_orders: Neither carry orders out nor answer them; tell what runs.
         fail_all: Every run fails at once.
         hang: Runs make no progress.
         garble: Answer with what is no report.
@@ -32,6 +35,7 @@
     status: int = 0
     swallow: bool = False
     lose_answers: bool = False
+    lose_orders: bool = False
     fail_all: bool = False
     hang: bool = False
     garble: bool = False
@@ -64,7 +68,7 @@
     Args:
         minion_id: Its id.
         millicores: Its room.
-        work_ms: How long each task takes.
+        work_ms: How long a task takes whose payload doesn't say it.
         clock_rate: How fast its clock runs.
 
     Attributes:
@@ -106,7 +110,7 @@
         for path, handler in (
             ('/api/run-start', self._start),
             ('/api/run-stop', self._stop),
-            ('/api/hold', self._hold),
+            (_REPORT_PATH, self._hold),
         ):
             app.add_route(handler, path, methods=['POST'])
         app.register_middleware(self._misbehave, 'request')
@@ -178,7 +182,8 @@
         expected = request.headers.get('x-expect-instance')
         if expected not in (None, self.id):
             return sanic.response.text('', status=421)
-        if self.faults.swallow:
+        is_order = request.path != _REPORT_PATH
+        if self.faults.swallow or (is_order and self.faults.lose_orders):
             await asyncio.sleep(_serve.FOREVER_S)
         if self.faults.garble:
             return sanic.response.text('[1, 2')
@@ -248,16 +253,20 @@
             return await self._reply(409, reason='old')
         if (len(going) + 1) * self.needs_millicores > self.millicores:
             return await self._reply(409, reason='room')
-        run = Run(task, attempt, time.monotonic(), self.work_ms)
+        run = Run(task, attempt, time.monotonic(), self._work_ms(body))
         self.runs.append(run)
         if self.faults.fail_all:
             self._end(run, 'failed')
         elif not self.faults.hang:
             asyncio.get_running_loop().call_later(
-                self.work_ms / MS_PER_SECOND, self._end, run, 'done'
+                run.work_ms / MS_PER_SECOND, self._end, run, 'done'
             )
         return await self._reply()
 
+    def _work_ms(self, body: dict) -> float:
+        payload = body.get('spec', '')
+        return float(payload) if payload.isdecimal() else self.work_ms
+
     async def _stop(self, request: sanic.Request) -> sanic.HTTPResponse:
         body = request.json
         if self._is_fenced(body):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,18 @@
 """Tests of the soak: its checks can fail, and a few seeds pass."""
 
 import asyncio
+import contextlib
+import random
 import types
 import unittest
 
+from rosemaryroad import clock
+from rosemaryroad import endpoints
+from rosemaryroad import model
+from rosemaryroad import platform
 from soak import checks
 from soak import clients
+from soak import faults as faults_module
 from soak import plan
 from soak import run
 from soak import world as world_module
@@ -15,6 +22,9 @@
 _SHAPE = plan.Shape(daemons=3, workers=6, seconds=4.0)
 _SEEDS = (7, 8)
 
+# A lease is 1 s, and another VM takes it for lapsed some time after that.
+_LONG_MS = 1_200
+
 
 def _run(task: str, began: float, ended: float | None, end: str = 'done'):
     return job_minion.Run(task, 1, began, 40.0, ended, end)
@@ -36,6 +46,92 @@
         }
         self.assertEqual(set(plan.Kind), found)
 
+    def test_a_failure_domain_is_cut_off_beside_lost_orders(self) -> None:
+        """Only then can a task start twice whose stop got lost."""
+        for seed in range(40):
+            faults = plan.draw(seed, plan.Shape())
+            beside = {plan.Kind.ORDERS_LOST, plan.Kind.PARTED}
+            if beside & {fault.kind for fault in faults}:
+                with self.subTest(seed):
+                    self.assertTrue(any(map(_cuts_off_a_domain, faults)))
+
+    def test_some_tasks_outlive_a_lease(self) -> None:
+        """Only such are prolonged by one VM and taken for lapsed by another.
+
+        With no others, the rooms would be full of them.
+        """
+        rng = random.Random(1)
+        for share in clients.LONG_SHARES:
+            sizes = [clients.draw_size(rng, share) for _ in range(1_000)]
+            long = sum(long_ms > _LONG_MS for _, long_ms in sizes)
+            with self.subTest(share):
+                self.assertGreater(long, 0)
+                self.assertLess(long, len(sizes) / 2)
+
+
+def _cuts_off_a_domain(fault: plan.Fault) -> bool:
+    domains = {frozenset({0, 3}), frozenset({1}), frozenset({2})}
+    kinds = {plan.Kind.CUT, plan.Kind.SILENCE, plan.Kind.DROP}
+    return fault.kind in kinds and fault.daemons in domains
+
+
+class WorkerFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """A worker does wrong what its fault says, and for so long."""
+
+    async def asyncSetUp(self) -> None:
+        self.worker = job_minion.JobMinion('i1', work_ms=60_000)
+        await self.worker.start()
+        self.addAsyncCleanup(self.worker.stop)
+        self.world = types.SimpleNamespace(
+            workers=[self.worker], list_worker=self._list
+        )
+        self.client = platform.MinionClient(1_000.0, clock.Clock())
+        self.addAsyncCleanup(self.client.close)
+        self.listed: list[str] = []
+        self.known = model.Worker(
+            'i1',
+            'archive',
+            self.worker.address,
+            'szeged',
+            model.Needs(64.0, 9_999, 0),
+        )
+
+    def _list(self, worker: job_minion.JobMinion, state: str) -> None:
+        self.listed.append(f'{worker.id} {state}')
+
+    async def _order(self, job: str) -> model.OrderResult:
+        await self._report()
+        task = model.TaskId(job, 0)
+        reply = await self.client.start(self.known, 1, task, 1, 'payload')
+        return reply.result
+
+    async def _report(self) -> model.WorkerReport:
+        return await self.client.hold(self.known, 1, 0, 0.0)
+
+    async def _play(self, kind: plan.Kind) -> None:
+        await faults_module.play(self.world, [plan.Fault(0.0, 0.5, kind)])
+
+    async def test_orders_get_lost_while_reports_are_answered(self) -> None:
+        playing = asyncio.create_task(self._play(plan.Kind.ORDERS_LOST))
+        await asyncio.sleep(0.1)
+        self.assertEqual(model.OrderResult.UNKNOWN, await self._order('j1'))
+        self.assertEqual((), (await self._report()).running)
+        await playing
+        self.assertEqual(model.OrderResult.DONE, await self._order('j1'))
+
+    async def test_a_restart_forgets_what_ran_under_the_old_id(self) -> None:
+        await self._order('j1')
+        before = (await self._report()).born
+        await self._play(plan.Kind.WORKER_RESTARTS)
+        with contextlib.suppress(endpoints.WorkerUnreachable):
+            # The connection of before is broken.
+            await self._report()
+        report = await self._report()
+        self.assertEqual((), report.running)
+        self.assertGreater(report.born, before)
+        self.assertEqual(['crashed'], [run.end for run in self.worker.runs])
+        self.assertEqual(['i1 ready'], self.listed)
+
 
 class ChecksTest(unittest.TestCase):
     """Each promise is found broken when it is."""
@@ -69,6 +165,34 @@
         self.world.gone.append(other)
         self.assertEqual(['no task runs twice at a time'], self._broken())
 
+    def test_a_run_prolonged_while_another_starts(self) -> None:
+        """One VM prolongs what another one takes for lapsed."""
+        other = types.SimpleNamespace(runs=[_run('j1.0.0.0', 2.3, 3.0)])
+        self.worker.runs.append(_run('j1.0.0.0', 1.0, 2.4, 'stopped'))
+        self.world.workers.append(other)
+        self.assertEqual(['no task runs twice at a time'], self._broken())
+
+    def test_a_run_that_a_restart_ended_may_start_again(self) -> None:
+        self.worker.runs.append(_run('j1.0.0.0', 1.0, 1.1, 'crashed'))
+        self.worker.runs.append(_run('j1.0.0.0', 1.2, 1.3))
+        self.assertEqual([], self._broken())
+
+    def test_a_restart_mistaken_for_the_end_of_a_task(self) -> None:
+        self.worker.runs.append(_run('j1.0.0.0', 1.0, 1.1, 'crashed'))
+        self._answer(200, 'completed')
+        self.assertEqual(['a completed job is whole'], self._broken())
+
+    def test_a_worker_that_gets_tasks_again(self) -> None:
+        self.worker.runs.append(_run('j1.0.0.0', 5.0, 5.2))
+        self.assertEqual([], checks.all_work(self.world, 4.0))
+
+    def test_a_worker_whose_room_tasks_of_an_earlier_life_fill(self) -> None:
+        """It started again, and nobody missed what had run there."""
+        self.worker.id = 'i1'
+        self.worker.runs.append(_run('j1.0.0.0', 1.0, 1.3, 'crashed'))
+        broken = checks.all_work(self.world, 4.0)
+        self.assertEqual(['i1'], [item.what for item in broken])
+
     def test_a_completed_job_without_a_run(self) -> None:
         self._answer(200, 'completed')
         self.assertEqual(['a completed job is whole'], self._broken())
