--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -26,6 +26,7 @@
 _HOLD_WAIT_MS = 100.0
 _RELINK_MS = 100.0
 _LEASE_MS = 1_000.0
+_ORDER_WAY_MS = 40.0
 _LONG_MS = 3_600_000.0
 _FIRST_BORN_MS = 1_700_000_000_000
 _LIMITS = dispatching.DispatchLimits(lease_ms=_LEASE_MS)
@@ -115,7 +116,8 @@
         if order.attempt <= self._highest.get(order.task, 0):
             return model.OrderResult.STALE_ATTEMPT
         self._highest[order.task] = order.attempt
-        self._lease_end = max(self._lease_end, now + _LEASE_MS)
+        until = min(self._clock_from + lease_end, now + _LEASE_MS)
+        self._lease_end = max(self._lease_end, until)
         self.runs[key] = _Run(starter, now, now + self._run_ms)
         return model.OrderResult.DONE
 
@@ -247,6 +249,14 @@
         )
         return counts.most_common(1)[0][0]
 
+    def dispatchers(self) -> list[str]:
+        """Returns the VMs that give orders."""
+        return sorted(
+            vm.name
+            for vm in self.vm_by_name.values()
+            if vm.role.claim is not model.Claim.NONE
+        )
+
     # Faults.
 
     def block(self, senders: set[str], receivers: set[str]) -> None:
@@ -258,6 +268,11 @@
             if one != other
         }
 
+    def let_through(self, names: set[str], others: set[str]) -> None:
+        """Lets everything through again between some and others."""
+        self._blocked -= set(itertools.product(names, others))
+        self._blocked -= set(itertools.product(others, names))
+
     def part(self, names: set[str]) -> None:
         """Cuts some off from all others, the store among them."""
         others = self._everybody() - names
@@ -413,11 +428,17 @@
         self._claim(vm)
         self._check_role(vm)
         if vm.dispatcher is not None and vm.leadership.may_order(self.now):
+            self._count_votes(vm)
             self._carry_out(vm, vm.dispatcher.tick(self.now))
             self._hold_all(vm)
         vm.home.hand_again()
         self._pulse_if_due(vm)
 
+    def _count_votes(self, vm: _Vm) -> None:
+        is_deputy = vm.role.claim is model.Claim.DEPUTY
+        leads_most = not is_deputy and vm.leadership.leads_most(self.now)
+        vm.dispatcher.lead_most(leads_most, self.now)
+
     def _claim(self, vm: _Vm) -> None:
         wanted = vm.leadership.wants_claim(self.now)
         if wanted is None:
@@ -562,12 +583,14 @@
             reply = model.OrderReply(model.OrderResult.NOT_SENT)
             self._reply(vm, dispatcher, order, reply)
             return
+        prolong = dispatcher.may_prolong(order.worker)
         dispatcher.held(order.worker, self.now)
         fence = vm.leadership.fence
+        lease_ms = _LEASE_MS if prolong else _ORDER_WAY_MS
         result = model.OrderResult.UNKNOWN
         if self._takes_order(vm, order.worker):
             worker = self.worker_by_id[order.worker]
-            lease_end = worker.clock(self.now) + _LEASE_MS
+            lease_end = worker.clock(self.now) + lease_ms
             delay_ms = self._delay_by_worker.get(order.worker)
             arguments = (order, vm.name, fence, lease_end)
             if delay_ms is None:
@@ -654,7 +677,7 @@
         held = vm.held_by_worker[worker_id]
         if dispatcher is None or not vm.leadership.may_order(self.now):
             return
-        prolong = dispatcher.may_prolong(worker_id, self.now)
+        prolong = dispatcher.may_prolong(worker_id)
         dispatcher.held(worker_id, self.now)
         asked = held.acknowledged.mark
         report = None
