--- a/soak/world.py
+++ b/soak/world.py
@@ -137,6 +137,25 @@
             process.terminate()
 
 
+def next_number(
+    numbers: collections.abc.Iterator[int], place: int, cells: int
+) -> int:
+    """Returns the number of a worker whose cell is that of its place.
+
+    By their hashes alone, one of a few cells could be left without workers.
+    """
+    division = dispatching.Cells(cells)
+    return next(
+        number
+        for number in numbers
+        if division.of_worker(_worker_id(number)) == place % cells
+    )
+
+
+def _worker_id(number: int) -> str:
+    return f'i{number}'
+
+
 class World:
     """All that a soak runs.
 
@@ -267,10 +286,10 @@
         self.daemons.append(Daemon(number, setup))
 
     async def _make_worker(self, place: int) -> job_minion.JobMinion:
-        number = self._next_number(place % self._shape.cells)
+        number = next_number(self._numbers, place, self._shape.cells)
         rate = _CLOCK_RATES[number % len(_CLOCK_RATES)]
         worker = job_minion.JobMinion(
-            f'i{number}',
+            _worker_id(number),
             work_ms=_WORK_MS[number % len(_WORK_MS)],
             clock_rate=rate,
         )
@@ -283,15 +302,6 @@
         self.list_worker(worker, 'ready')
         return worker
 
-    def _next_number(self, cell: int) -> int:
-        # By its hash alone one of a few cells could be left without workers.
-        cells = dispatching.Cells(self._shape.cells)
-        return next(
-            number
-            for number in self._numbers
-            if cells.of_worker(f'i{number}') == cell
-        )
-
     async def _balance(self, daemon: Daemon) -> None:
         misses = _MISSES
         while True:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,15 @@
 """Tests of the soak: its checks can fail, and a few seeds pass."""
 
 import asyncio
+import collections
 import contextlib
+import itertools
 import random
 import types
 import unittest
 
 from rosemaryroad import clock
+from rosemaryroad import dispatching
 from rosemaryroad import endpoints
 from rosemaryroad import model
 from rosemaryroad import platform
@@ -133,6 +136,20 @@
         self.assertEqual(['i1 ready'], self.listed)
 
 
+class WorldTest(unittest.TestCase):
+    """What is played could serve all that is asked of it."""
+
+    def test_no_cell_is_left_with_one_worker(self) -> None:
+        """Seed 3101 of three cells had one that refused jobs for it."""
+        numbers = itertools.count()
+        cells = dispatching.Cells(3)
+        found = collections.Counter(
+            cells.of_worker(f'i{world_module.next_number(numbers, place, 3)}')
+            for place in range(8)
+        )
+        self.assertEqual({0: 3, 1: 3, 2: 2}, dict(found))
+
+
 class ChecksTest(unittest.TestCase):
     """Each promise is found broken when it is."""
 
