--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -62,8 +62,8 @@
         is_older: Whether it was given before the present life of its worker
             was known, so that either of two may answer.
         may_lack_end: Whether it may have ended without a word.
-        may_begin_late: Whether its start got no answer and may still be
-            under way.
+        may_begin_late: Whether its start has got no answer and may still
+            be under way.
     """
 
     task: model.TaskId
@@ -82,7 +82,7 @@
     since_asked: float = 0.0
     is_older: bool = False
     may_lack_end: bool = False
-    may_begin_late: bool = False
+    may_begin_late: bool = True
 
 
 @attrs.define(eq=False)
@@ -134,6 +134,8 @@
         unseen: Workers that may run tasks of it for another dispatcher
             and have not told since it came, each with the time until
             which that is possible; no task starts before.
+        placed_by_worker: The tasks that were placed by another dispatcher,
+            by workers that haven't told since it came.
         news: What its homes have not been told yet.
         blamed: Workers that were blamed for its failures.
         rank: Its place among the waiting jobs, the lowest first.
@@ -155,6 +157,7 @@
     tasks: list[TaskState]
     started: bool = False
     unseen: dict[str, float] = attrs.field(factory=dict)
+    placed_by_worker: dict[str, list[int]] = attrs.field(factory=dict)
     news: 'JobNews | None' = None
     blamed: set[str] = attrs.field(factory=set)
     rank: tuple[int, float] = (0, 0.0)
@@ -181,7 +184,7 @@
         listed: Whether the list still names it.
         silent_since: Since when it gives no answer, or None.
         held_at: When a call that prolongs its leases was last sent, or may
-            have been by another dispatcher.
+            have been by another dispatcher, or a task was last started.
         heard_at: When it last told what it runs.
         looked_at: When it was last asked out of turn.
         proved_at: When a task there was last seen at an ordinary pace.
