--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -53,8 +53,11 @@
         percent: The progress that the worker told last.
         moved_at: When that progress last changed.
         stop_sent_at: When it was last told to stop.
+        stops: How often it was told to.
         adopted: Whether another dispatcher started it, so that it is not
             known how long it has run.
+        is_foreign: Whether another dispatcher started it and no home here
+            has claimed it.
         begun_at: When it was first known to have begun, or None before.
         was_named: Whether a report of the worker's present life named it.
         since_asked: A report that was asked for before says nothing of it,
@@ -76,7 +79,9 @@
     percent: float = 0.0
     moved_at: float = 0.0
     stop_sent_at: float = 0.0
+    stops: int = 0
     adopted: bool = False
+    is_foreign: bool = False
     begun_at: float | None = None
     was_named: bool = False
     since_asked: float = 0.0
