--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -186,6 +186,8 @@
     )
     task.order = order
     context.add_order(worker, order)
+    # Whoever prolongs the leases there, they cover it as well.
+    worker.held_at = now
     state.started = True
     placed = model.Placement(task.id.index, worker.worker.id)
     context.news_of(state).placed.append(placed)
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -61,6 +61,27 @@
         self.answer(stop)
         self.assertTrue(self.dispatcher.may_prolong('w1'))
 
+    def test_a_start_under_the_leases_of_others_may_last_as_long(
+        self,
+    ) -> None:
+        """It begins where orders to stop get lost, long after our last call.
+
+        Taken for lapsed by that call, it would start again beside itself.
+        """
+        self.list_workers(case.make_worker('w1'))
+        foreign = self._foreign()
+        self.report('w1', running=((foreign, 10.0),))
+        self.pass_time(2_000)
+        start = self._run_one()
+        self.now += 10
+        self.report('w1', running=((foreign, 20.0), (start, 1.0)))
+        self.list_workers(case.make_worker('w1'), case.make_worker('w2'))
+        self.report('w2')
+        self._go_silent(900)
+        self.assertEqual([], self.starts())
+        self.pass_time(300)
+        self.assertEqual([start.task], [item.task for item in self.starts()])
+
     def test_most_prolong_what_a_deputy_starts_later(self) -> None:
         """A deputy's tasks beside ours must not keep ours from being held."""
         self.add_workers('w1')
