--- a/rosemaryroad/dispatching/_handover.py
+++ b/rosemaryroad/dispatching/_handover.py
@@ -102,6 +102,8 @@
     worker = context.workers_by_id[worker_id]
     if order.phase is not _state.OrderPhase.RUNNING:
         return
+    # Whoever had the job may have prolonged the lease just now.
+    worker.held_at = now
     if not _reports.adopt(state, worker, order):
         context.stop(worker, order, 'a second attempt', now)
 
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -138,6 +138,8 @@
     row: model.RunningTask,
     now: float,
 ) -> _state.Order:
+    # Whoever started it may have prolonged its lease just now.
+    worker.held_at = now
     state = context.jobs_by_id.get(row.task.job)
     needs = state.job.needs if state is not None else _UNKNOWN_NEEDS
     order = _state.Order(row.task, row.attempt, needs, None, now, moved_at=now)
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -165,7 +165,8 @@
         listed: Whether the list still names it.
         silent_since: Since when it gives no answer, or None.
         held_at: When a call that prolongs its leases was last sent, or may
-            have been by another dispatcher, or a task was last started.
+            have been by another dispatcher, or a task was last started or
+            found.
         heard_at: When it last told what it runs.
         looked_at: When it was last asked out of turn.
         proved_at: When a task there was last seen at an ordinary pace.
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -82,6 +82,38 @@
         self.pass_time(300)
         self.assertEqual([start.task], [item.task for item in self.starts()])
 
+    def _find(self, is_handed_first: bool) -> dispatching.StartTask:
+        """Has a deputy's task come over and be found, after a cut."""
+        self.add_workers('w1', 'w2')
+        self._go_silent(1_500)
+        theirs = self._foreign('ours')
+        job = case.make_job('ours', estimate_ms=5_000.0)
+        placed = (model.Placement(0, 'w1'),)
+        if is_handed_first:
+            self.submit(job, 60_000.0, attempt=1, placed=placed)
+        self.report('w1', running=((theirs, 10.0),))
+        self.report('w2')
+        if not is_handed_first:
+            self.submit(job, 60_000.0, attempt=1, placed=placed)
+        return theirs
+
+    def test_what_is_found_may_run_for_one_more_lease(self) -> None:
+        """A cut heals, and a call of before fails after one has got through.
+
+        Taken for lapsed by our last call of before the cut, a deputy's task
+        would start again at once beside itself.
+        """
+        for is_handed_first in (True, False):
+            with self.subTest(is_handed_first=is_handed_first):
+                self.setUp()
+                theirs = self._find(is_handed_first)
+                self._go_silent(LAPSE_MS)
+                self.assertEqual([], self.starts())
+                self.pass_time(30)
+                self.assertEqual(
+                    [theirs.task], [item.task for item in self.starts()]
+                )
+
     def test_most_prolong_what_a_deputy_starts_later(self) -> None:
         """A deputy's tasks beside ours must not keep ours from being held."""
         self.add_workers('w1')
--- a/tests/dispatching/test_who_starts.py
+++ b/tests/dispatching/test_who_starts.py
@@ -33,6 +33,9 @@
 # Orders are carried out so late, inside the lease that they name.
 _LATE_MS = (400.0, 600.0, 900.0)
 
+# How long a cut lasts that comes after a loss.
+_CUT_MS = (1_000.0, 1_480.0, 1_560.0, 1_600.0)
+
 # A client whose connection has broken comes again after this long.
 _COME_AGAIN_MS = 1_300.0
 
@@ -428,3 +431,21 @@
                 service.hold_up(set(service.worker_by_id), late_ms)
                 await self._submit(service, 'last', 3, {home})
                 await self._end(service)
+
+    async def test_tasks_that_come_back_after_a_cut_are_not_doubled(
+        self,
+    ) -> None:
+        """A deputy gives way to the successor of a dispatcher that died.
+
+        A last call of before fails, after the tasks have come over.
+        """
+        for pause_ms, cut_ms in itertools.product((80.0, 120.0), _CUT_MS):
+            with self.subTest(pause=pause_ms, cut=cut_ms):
+                service = await self._start(vms=2)
+                dispatcher = service.dispatcher()
+                service.kill(dispatcher)
+                await service.run(pause_ms)
+                service.part(service.names_of(dispatcher[0]))
+                await self._submit(service, 'cut', int(cut_ms / 40.0))
+                service.heal()
+                await self._end(service)
