--- a/rosemaryroad/jobserver/_acknowledged.py
+++ b/rosemaryroad/jobserver/_acknowledged.py
@@ -42,6 +42,7 @@
 
     def __init__(self) -> None:
         self.mark = Mark()
+        self._settled = 0
         self._told_at_by_number: dict[int, float] = {}
 
     @property
@@ -81,18 +82,21 @@
             return report
         if report.born != self.mark.born:
             self._begin(report.born)
-        last = self._last_known(report, concerns, now)
-        if last > self.mark.number:
-            self.mark = Mark(last, report.born)
+        self._settled = max(
+            self._settled, self._last_settled(report, concerns, now)
+        )
+        if report.ended:
+            self.mark = Mark(self._settled, report.born)
         if asked.number and model.is_earlier_life(asked.born, report.born):
             return attrs.evolve(report, may_lack_ends=True)
         return report
 
     def _begin(self, born: int | None) -> None:
         self.mark = Mark(0, born)
+        self._settled = 0
         self._told_at_by_number.clear()
 
-    def _last_known(
+    def _last_settled(
         self, report: model.WorkerReport, concerns: _Concerns, now: float
     ) -> int:
         """Returns up to which number nobody needs to be told any more."""
@@ -100,7 +104,7 @@
         self._told_at_by_number = {
             row.number: told_at_by_number.get(row.number, now)
             for row in report.ended
-            if not concerns(row)
+            if row.number > self._settled and not concerns(row)
         }
         left = [
             number
--- a/tests/jobserver/test_acknowledged.py
+++ b/tests/jobserver/test_acknowledged.py
@@ -112,3 +112,20 @@
         self.assertEqual(3, self.acknowledged.mark.number)
         self._tell(model.WorkerReport(1.0, 1.0, (), ()))
         self.assertFalse(self.acknowledged.leaves_some)
+
+    def test_ends_that_are_told_again_are_not_taken_for_others(self) -> None:
+        """What was ordered here is no longer known once its end was taken in.
+
+        Left to others, it would slow the questions to its worker down.
+        """
+        self._tell(_report(_FIRST, 1, 2))
+        self.acknowledged.call_lost()
+        self.assertEqual(0, self.acknowledged.mark.number)
+        self.acknowledged.told(
+            self.acknowledged.mark,
+            _report(_FIRST, 1, 2),
+            lambda _: False,
+            self.now,
+        )
+        self.assertEqual(2, self.acknowledged.mark.number)
+        self.assertFalse(self.acknowledged.leaves_some)
