--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -87,6 +87,7 @@
         if known is not None:
             known.homes.add(home)
             known.deadline = max(known.deadline, now + message.left_ms)
+            _handover.take_again(context, known, message, now)
             if known.started:
                 _tell_all(context, known)
             return context.take_actions()
--- a/rosemaryroad/dispatching/_handover.py
+++ b/rosemaryroad/dispatching/_handover.py
@@ -65,6 +65,26 @@
         _expect_reports(context, state, placed, now)
 
 
+def take_again(
+    context: _context.Context,
+    state: _state.JobState,
+    message: model.JobSubmitted,
+    now: float,
+) -> None:
+    """Looks for attempts that another dispatcher gave while a job was here.
+
+    Its home left, and this VM didn't notice: it was stopped, or a new link
+    stood before the old one was gone.
+    """
+    if message.attempt <= max(task.attempt for task in state.tasks):
+        return
+    for task in state.tasks:
+        task.attempt = max(task.attempt, message.attempt)
+    state.started = True
+    state.came_at = now
+    _expect_reports(context, state, message.placed, now)
+
+
 def _expect_reports(
     context: _context.Context,
     state: _state.JobState,
@@ -77,7 +97,8 @@
     of those that it placed tasks on, whether or not they can be
     reached from here.
     """
-    context.expecting.append(state)
+    if state not in context.expecting:
+        context.expecting.append(state)
     unstopped = now + _OTHER_STOPS_MS
     lapsed = now + context.limits.lapse_ms
     for key in context.workers_by_id:
--- a/tests/dispatching/test_takeover.py
+++ b/tests/dispatching/test_takeover.py
@@ -204,3 +204,27 @@
         self.pass_time(120)
         [stop] = self.stops()
         self.assertEqual('theirs', stop.task.job)
+
+
+class HandedAgainTest(case.DispatcherCase):
+    """A home comes again with a job that it has had elsewhere meanwhile."""
+
+    def test_a_job_that_was_elsewhere_meanwhile_is_looked_for(self) -> None:
+        """The dispatcher was stopped, and didn't notice that the home left.
+
+        A deputy has started the job; it would run twice at the same time.
+        """
+        job = case.make_job('ours')
+        self.list_workers(case.make_worker('w1'), case.make_worker('w2'))
+        self.submit(job)
+        self.now += 500
+        placed = (model.Placement(0, 'w1'),)
+        self.submit(job, attempt=2, placed=placed)
+        self.report('w2')
+        self.assertEqual([], self.starts())
+        theirs = dispatching.StartTask(
+            'w1', '', model.TaskId('ours', 0), 2, '', 0.0
+        )
+        self.report('w1', running=((theirs, 10.0),))
+        self.assertEqual([], self.starts())
+        self.assertEqual([], self.stops())
