--- a/rosemaryroad/jobserver/_following.py
+++ b/rosemaryroad/jobserver/_following.py
@@ -41,6 +41,10 @@
         rest_ms: Returns how long to rest between two calls. Minions write
             their entries every second or so; asked without a rest, the
             store answers each such write with a call of its own.
+        keep_ms: For how long rows are kept that are missing after an outage.
+            Minions' entries lapse while the store is away, and are back
+            within two seconds of its return; taken for gone at once, all
+            workers would stand idle until then.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         metrics: _metrics.JobMetrics,
         wait_ms: float,
         rest_ms: collections.abc.Callable[[], float] = lambda: 0.0,
+        keep_ms: float = 0.0,
     ) -> None:
         self._tables = tables
         self._table = table
@@ -62,6 +67,9 @@
         self._metrics = metrics
         self._wait_ms = wait_ms
         self._rest_ms = rest_ms
+        self._keep_ms = keep_ms
+        self._kept: dict[str, platform.Row] = {}
+        self._kept_until = 0.0
         self._rested = asyncio.Event()
         self._row_by_key: dict[str, platform.Row] = {}
         self._version: int | None = None
@@ -114,13 +122,21 @@
         # meanwhile may have come and gone without a change being kept.
         if self._version is None or self._failures:
             found = await self._tables.snapshot(self._table)
-            self._row_by_key = {row.key: row for row in found.rows}
+            rows = {row.key: row for row in found.rows}
+            self._keep_missing(rows)
+            self._row_by_key = self._kept | rows
             self._version = found.version
             self._on_rows(self._row_by_key)
             return
+        wait_ms = self._wait_ms
+        keep_ms = self._kept_until - self._clock.now()
+        if self._kept and keep_ms <= 0:
+            self._drop_missing()
+        elif self._kept:
+            wait_ms = min(wait_ms, keep_ms)
         try:
             found = await self._tables.changes(
-                self._table, self._version, self._wait_ms
+                self._table, self._version, wait_ms
             )
         except platform.HistoryLost as error:
             logs.event(
@@ -135,11 +151,31 @@
         self._version = max(self._version, found.version)
         for key in found.deleted:
             self._row_by_key.pop(key, None)
+            self._kept.pop(key, None)
         for row in found.rows:
             self._row_by_key[row.key] = row
+            self._kept.pop(row.key, None)
         if found.rows or found.deleted:
             self._on_rows(self._row_by_key)
 
+    def _keep_missing(self, rows: dict[str, platform.Row]) -> None:
+        now = self._clock.now()
+        if self._failures:
+            self._kept = self._row_by_key
+            self._kept_until = now + self._keep_ms
+        still = now < self._kept_until
+        self._kept = {
+            key: row
+            for key, row in self._kept.items()
+            if still and key not in rows
+        }
+
+    def _drop_missing(self) -> None:
+        for key in self._kept:
+            del self._row_by_key[key]
+        self._kept = {}
+        self._on_rows(self._row_by_key)
+
     def _failed(self, error: errors.PlatformUnavailable) -> None:
         self._metrics.store_called(self._table, 'failed')
         self._failures += 1
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -60,6 +60,7 @@
 # to be known within some seconds of the store's return; new VMs also link
 # to the ones that know of them.
 _WORKERS_WAIT_MS = 1_500.0
+_WORKERS_KEEP_MS = 2_000.0
 _QUEUES_WAIT_MS = 2_500.0
 _VMS_WAIT_MS = 10_000.0
 
@@ -124,6 +125,7 @@
             self._on_workers,
             _WORKERS_WAIT_MS,
             self._workers_rest_ms,
+            _WORKERS_KEEP_MS,
         )
         self._followers = (
             self._workers_follower,
@@ -351,6 +353,7 @@
         on_rows: collections.abc.Callable,
         wait_ms: float,
         rest_ms: collections.abc.Callable[[], float] = lambda: 0.0,
+        keep_ms: float = 0.0,
     ) -> _following.TableFollower:
         return _following.TableFollower(
             self._adapter.tables,
@@ -361,6 +364,7 @@
             self.metrics,
             wait_ms,
             rest_ms,
+            keep_ms,
         )
 
     async def _keep_time(self) -> None:
