--- a/rosemaryroad/jobserver/_acknowledged.py
+++ b/rosemaryroad/jobserver/_acknowledged.py
@@ -43,12 +43,13 @@
     def __init__(self) -> None:
         self.mark = Mark()
         self._settled = 0
-        self._told_at_by_number: dict[int, float] = {}
+        self._taken_in: set[int] = set()
+        self._left_at_by_number: dict[int, float] = {}
 
     @property
     def leaves_some(self) -> bool:
         """Whether the worker keeps an end that has been told here."""
-        return bool(self._told_at_by_number)
+        return bool(self._left_at_by_number)
 
     def call_lost(self) -> None:
         """Takes in that a call got no sound answer."""
@@ -76,40 +77,57 @@
             now: The present time.
 
         Returns:
-            The report, which says whether it may lack ends.
+            The report without ends that were taken in before; it says
+            whether it may lack some.
         """
         if model.is_earlier_life(report.born, self.mark.born):
             return report
         if report.born != self.mark.born:
             self._begin(report.born)
-        self._settled = max(
-            self._settled, self._last_settled(report, concerns, now)
+        may_lack_ends = bool(asked.number) and model.is_earlier_life(
+            asked.born, report.born
         )
+        ended = tuple(
+            row for row in report.ended if not self._is_taken_in(row.number)
+        )
+        self._take_in(ended, concerns, now)
+        self._settle(report.ended, now)
         if report.ended:
             self.mark = Mark(self._settled, report.born)
-        if asked.number and model.is_earlier_life(asked.born, report.born):
-            return attrs.evolve(report, may_lack_ends=True)
-        return report
+        return attrs.evolve(report, ended=ended, may_lack_ends=may_lack_ends)
 
     def _begin(self, born: int | None) -> None:
         self.mark = Mark(0, born)
         self._settled = 0
-        self._told_at_by_number.clear()
-
-    def _last_settled(
-        self, report: model.WorkerReport, concerns: _Concerns, now: float
-    ) -> int:
-        """Returns up to which number nobody needs to be told any more."""
-        told_at_by_number = self._told_at_by_number
-        self._told_at_by_number = {
-            row.number: told_at_by_number.get(row.number, now)
-            for row in report.ended
-            if row.number > self._settled and not concerns(row)
-        }
+        self._taken_in.clear()
+        self._left_at_by_number.clear()
+
+    def _is_taken_in(self, number: int) -> bool:
+        return number <= self._settled or number in self._taken_in
+
+    def _take_in(
+        self,
+        rows: tuple[model.EndedTask, ...],
+        concerns: _Concerns,
+        now: float,
+    ) -> None:
+        left_at_by_number = self._left_at_by_number
+        self._left_at_by_number = {}
+        for row in rows:
+            if concerns(row):
+                self._taken_in.add(row.number)
+            else:
+                left_at = left_at_by_number.get(row.number, now)
+                self._left_at_by_number[row.number] = left_at
+
+    def _settle(self, rows: tuple[model.EndedTask, ...], now: float) -> None:
+        """Finds up to which number nobody needs to be told any more."""
         left = [
             number
-            for number, told_at in self._told_at_by_number.items()
-            if now - told_at < _LEFT_TO_OTHERS_MS
+            for number, left_at in self._left_at_by_number.items()
+            if now - left_at < _LEFT_TO_OTHERS_MS
         ]
-        last = max((row.number for row in report.ended), default=0)
-        return min([last, *(number - 1 for number in left)])
+        last = max((row.number for row in rows), default=0)
+        last = min([last, *(number - 1 for number in left)])
+        self._settled = max(self._settled, last)
+        self._taken_in = {n for n in self._taken_in if n > self._settled}
--- a/tests/jobserver/test_acknowledged.py
+++ b/tests/jobserver/test_acknowledged.py
@@ -129,3 +129,36 @@
         )
         self.assertEqual(2, self.acknowledged.mark.number)
         self.assertFalse(self.acknowledged.leaves_some)
+
+    def test_an_end_of_others_holds_up_its_own_time_only(self) -> None:
+        """Our ends behind it are told again, and are no longer known as ours.
+
+        Each would be left to others in its turn, and so on for good.
+        """
+        theirs = model.TaskId('fedcba9876543210', 0)
+        rows = [model.EndedTask(1, theirs, 1, model.TaskEnd.DONE)]
+        known: set[int] = set()
+        for number in range(2, 30):
+            rows.append(
+                model.EndedTask(number, _TASK, number, model.TaskEnd.DONE)
+            )
+            rows = [
+                row
+                for row in rows
+                if row.number > self.acknowledged.mark.number
+            ]
+            report = model.WorkerReport(1.0, 1.0, (), tuple(rows))
+            told = self.acknowledged.told(
+                self.acknowledged.mark,
+                report,
+                lambda row: row.task == _TASK and row.number not in known,
+                self.now,
+            )
+            known.update(row.number for row in told.ended if row.number > 1)
+            self.assertEqual(
+                [number],
+                [row.number for row in told.ended if row.task == _TASK],
+            )
+            self.now += 50
+        self.assertEqual(29, self.acknowledged.mark.number)
+        self.assertFalse(self.acknowledged.leaves_some)
