--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -268,7 +268,7 @@
         if reply.result is not model.OrderResult.DONE:
             return []
         order.phase = _state.OrderPhase.STOPPED
-        order.since_clock = max(order.since_clock, reply.worker_clock)
+        order.told(reply.worker_clock, now)
         self._context.ask(_actions.LookAt(stop.worker))
         return self._context.take_actions()
 
--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -99,7 +99,7 @@
         # It is not known whose clock the reply tells.
         order.since_asked = now
     else:
-        order.since_clock = max(order.since_clock, reply.worker_clock)
+        order.told(reply.worker_clock, now)
 
 
 def binds(worker: _state.WorkerState, stop: _actions.StopTask) -> bool:
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -130,7 +130,7 @@
     ):
         order.phase = _state.OrderPhase.RUNNING
     _lives.told_of(order, report)
-    order.since_clock = max(order.since_clock, report.worker_clock)
+    order.told(report.worker_clock, now)
     if row.percent != order.percent:
         order.percent = row.percent
         order.moved_at = now
@@ -219,8 +219,11 @@
     if phase in (_state.OrderPhase.STARTING, _state.OrderPhase.STOPPING):
         # The answer is still to come; until then nothing is known.
         return
-    if order.since_clock >= report.worker_clock:
-        # The report was made before the answer, though it came after it.
+    may_be_before = report.asked_at <= order.answered_at
+    if may_be_before and order.since_clock >= report.worker_clock:
+        # The report was made before the answer, though it came after it. The
+        # clock alone doesn't tell: a worker that doesn't tell its lives may
+        # have started again with a clock that is behind.
         return
     if report.asked_at < order.since_asked:
         return
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -50,6 +50,7 @@
         phase: What is known of it.
         since_clock: The worker's clock at the last answer about it; a
             report from before that says nothing of it.
+        answered_at: When that answer came, by our clock.
         percent: The progress that the worker told last.
         moved_at: When that progress last changed.
         stop_sent_at: When it was last told to stop.
@@ -76,6 +77,7 @@
     at: float
     phase: OrderPhase = OrderPhase.STARTING
     since_clock: float = 0.0
+    answered_at: float = 0.0
     percent: float = 0.0
     moved_at: float = 0.0
     stop_sent_at: float = 0.0
@@ -89,6 +91,11 @@
     may_lack_end: bool = False
     may_begin_late: bool = True
 
+    def told(self, worker_clock: float, now: float) -> None:
+        """Notes that the worker has just told of it."""
+        self.since_clock = max(self.since_clock, worker_clock)
+        self.answered_at = now
+
 
 @attrs.define(eq=False)
 class TaskState:
--- a/tests/dispatching/test_lives.py
+++ b/tests/dispatching/test_lives.py
@@ -184,6 +184,20 @@
         [again] = self.starts()
         self.assertEqual(2, again.attempt)
 
+    def test_attempts_vanish_from_a_worker_that_tells_no_life(self) -> None:
+        """It starts again, and only its clock is behind.
+
+        Its room would stay full until that clock has caught up.
+        """
+        self.workers['w1'] = case.make_worker('w1')
+        self._list()
+        start = self.start()
+        self.answer(start)
+        self.now += 5
+        self.report('w1', worker_clock=7.0)
+        [again] = self.starts()
+        self.assertEqual(2, again.attempt)
+
     def test_an_answer_of_before_does_not_hold_the_room(self) -> None:
         """An order to start was answered by the earlier life.
 
