--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -160,6 +160,7 @@
         """Takes in that no link to a peer is left."""
         for election in self._elections:
             election.leadership.lost(vm, self._clock.now())
+        self._told_at_by_vm.pop(vm, None)
         self._queues_sharing.lost(vm)
         self._directory_sharing.lost(vm)
         self._handler.peer_lost(vm)
