--- a/rosemaryroad/jobserver/_acknowledged.py
+++ b/rosemaryroad/jobserver/_acknowledged.py
@@ -1,6 +1,7 @@
 """Up to which of its ends a worker has told, in its present life."""
 
 import collections.abc
+import math
 
 import attrs
 
@@ -45,6 +46,8 @@
         self._settled = 0
         self._taken_in: set[int] = set()
         self._left_at_by_number: dict[int, float] = {}
+        self._told_at = -math.inf
+        self._told_clock = 0.0
 
     @property
     def leaves_some(self) -> bool:
@@ -82,8 +85,11 @@
         """
         if model.is_earlier_life(report.born, self.mark.born):
             return report
-        if report.born != self.mark.born:
+        if report.born != self.mark.born or self._is_behind(report):
             self._begin(report.born)
+        if report.worker_clock > self._told_clock:
+            self._told_at = now
+            self._told_clock = report.worker_clock
         may_lack_ends = bool(asked.number) and model.is_earlier_life(
             asked.born, report.born
         )
@@ -101,6 +107,16 @@
         self._settled = 0
         self._taken_in.clear()
         self._left_at_by_number.clear()
+        self._told_at = -math.inf
+        self._told_clock = 0.0
+
+    def _is_behind(self, report: model.WorkerReport) -> bool:
+        """Tells whether a worker that tells no lives has started again."""
+        return (
+            report.born is None
+            and report.asked_at > self._told_at
+            and report.worker_clock < self._told_clock
+        )
 
     def _is_taken_in(self, number: int) -> bool:
         return number <= self._settled or number in self._taken_in
--- a/tests/jobserver/test_acknowledged.py
+++ b/tests/jobserver/test_acknowledged.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from rosemaryroad import model
 from rosemaryroad.jobserver import _acknowledged
 
@@ -162,3 +164,18 @@
             self.now += 50
         self.assertEqual(29, self.acknowledged.mark.number)
         self.assertFalse(self.acknowledged.leaves_some)
+
+    def test_a_worker_that_tells_no_lives_starts_again(self) -> None:
+        """Only its clock is behind; its ends are numbered anew.
+
+        Taken for those of before, they would never be taken in.
+        """
+        before = attrs.evolve(_report(None, 1, 2), worker_clock=9_000.0)
+        self._tell(before)
+        self.now += 10
+        self.acknowledged.call_lost()
+        after = attrs.evolve(
+            _report(None, 1), worker_clock=5.0, asked_at=self.now
+        )
+        self.assertEqual(after.ended, self._tell(after).ended)
+        self.assertEqual(1, self.acknowledged.mark.number)
