--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -171,7 +171,17 @@
         _queue.fill(context, now)
         return context.take_actions()
 
-    def may_prolong(self, worker_id: str) -> bool:
+    @property
+    def is_outvoted(self) -> bool:
+        """Whether most VMs don't follow this one."""
+        return self._context.is_outvoted
+
+    @property
+    def spare_ms(self) -> float:
+        """How much sooner leases end than the longest ones would."""
+        return _holding.spare_ms(self._context)
+
+    def may_prolong(self, worker_id: str, now: float) -> bool:
         """Tells whether a worker's leases may be prolonged.
 
         Those of one that gives no answer have to lapse: its tasks can't
@@ -180,7 +190,7 @@
         worker = self._context.workers_by_id.get(worker_id)
         if worker is None or worker.silent_since is not None:
             return False
-        return _holding.may_prolong(self._context, worker)
+        return _holding.may_prolong(self._context, worker, now)
 
     def is_wanted(self, start: _actions.StartTask) -> bool:
         """Tells whether an order to start still stands."""
@@ -193,7 +203,7 @@
 
     def held(self, worker_id: str, now: float) -> None:
         """Notes that a call which prolongs leases goes out now."""
-        if self.may_prolong(worker_id):
+        if self.may_prolong(worker_id, now):
             self._context.workers_by_id[worker_id].held_at = now
 
     def reported(
--- a/rosemaryroad/dispatching/_holding.py
+++ b/rosemaryroad/dispatching/_holding.py
@@ -16,11 +16,21 @@
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _state
 
+# What another dispatcher has started since a worker last told isn't known
+# here. One that most VMs don't follow prolongs on fresh news only, and by so
+# much less than a lease: the other's tasks last no longer by it than by the
+# call that started them.
+_FRESH_MS = 150.0
 
-def may_prolong(context: _context.Context, worker: _state.WorkerState) -> bool:
+
+def may_prolong(
+    context: _context.Context, worker: _state.WorkerState, now: float
+) -> bool:
     """Tells whether calls of this dispatcher may prolong a worker's leases."""
     if not worker.reported:
         return False
+    if context.is_outvoted and now - worker.heard_at > _FRESH_MS:
+        return False
     return not any(
         _may_lapse_elsewhere(context, worker, order)
         for order in worker.unclaimed_by_key.values()
@@ -39,6 +49,11 @@
     return context.is_outvoted or order.at == worker.taken_up_at
 
 
+def spare_ms(context: _context.Context) -> float:
+    """Returns how much sooner leases end than the longest ones would."""
+    return _FRESH_MS if context.is_outvoted else 0.0
+
+
 def keeps_tasks(
     context: _context.Context, worker: _state.WorkerState, now: float
 ) -> bool:
@@ -49,7 +64,7 @@
     as another dispatcher, which can't be heard, prolongs them. That one is
     at work if its attempts have outlived the leases that were found.
     """
-    if not context.is_outvoted or may_prolong(context, worker):
+    if not context.is_outvoted or may_prolong(context, worker, now):
         return worker.reported
     if not worker.reported:
         return False
--- a/rosemaryroad/endpoints/_workers.py
+++ b/rosemaryroad/endpoints/_workers.py
@@ -43,6 +43,7 @@
         acknowledged: int,
         wait_ms: float,
         prolong: bool = True,
+        spare_ms: float = 0.0,
     ) -> model.WorkerReport:
         """Asks what runs and what has ended.
 
@@ -54,6 +55,7 @@
             wait_ms: How long the worker may wait for an end that it can
                 tell.
             prolong: Whether the leases are prolonged.
+            spare_ms: How much sooner they end than the longest ones.
 
         Raises:
             WorkerReplaced: Another life of it answers.
@@ -70,6 +72,7 @@
         attempt: int,
         payload: str,
         prolong: bool = True,
+        spare_ms: float = 0.0,
     ) -> model.OrderReply:
         """Starts an attempt, at most once and not after its lease.
 
@@ -81,6 +84,7 @@
             payload: What the task is given.
             prolong: Whether the leases are prolonged. If not, the attempt
                 runs under those that another VM prolongs.
+            spare_ms: How much sooner they end than the longest ones.
         """
 
     @abc.abstractmethod
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -162,7 +162,16 @@
     def may_prolong(self, worker: str) -> bool:
         """Tells whether a worker's leases may be prolonged."""
         dispatcher = self._dispatcher
-        return dispatcher is not None and dispatcher.may_prolong(worker)
+        now = self._clock.now()
+        return dispatcher is not None and dispatcher.may_prolong(worker, now)
+
+    def is_outvoted(self) -> bool:
+        """Tells whether most VMs don't follow this one."""
+        return self._dispatcher is not None and self._dispatcher.is_outvoted
+
+    def spare_ms(self) -> float:
+        """Returns how much sooner leases end than the longest ones."""
+        return 0.0 if self._dispatcher is None else self._dispatcher.spare_ms
 
     def is_wanted(self, start: dispatching.StartTask) -> bool:
         """Tells whether an order to start still stands."""
@@ -192,6 +201,9 @@
         self, worker: str, report: model.WorkerReport, now: float
     ) -> None:
         for row in report.ended:
+            if not self._dispatcher.concerns(worker, row):
+                # It is told again until it is left no more.
+                continue
             ran_ms = self._dispatcher.ran_ms(worker, row, now)
             self._metrics.task_ended(row.end, ran_ms)
             logs.event(
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -28,6 +28,9 @@
 # lost, waits of 300 ms leave a worker's ends untold a sixth of the time.
 _LOSSY_WAIT_MS = 100.0
 
+# What another dispatcher starts there has to be known soon.
+_SHARED_WAIT_MS = 100.0
+
 # A single answer may be lost; a worker that leaves two unanswered is
 # silent. It is asked again after a pause that doubles.
 _SILENT_AFTER = 2
@@ -66,6 +69,14 @@
     def may_prolong(self, worker: str) -> bool:
         """Tells whether the worker's leases may be prolonged."""
 
+    @abc.abstractmethod
+    def is_outvoted(self) -> bool:
+        """Tells whether another dispatcher may use the worker as well."""
+
+    @abc.abstractmethod
+    def spare_ms(self) -> float:
+        """Returns how much sooner leases end than the longest ones."""
+
     @abc.abstractmethod
     def is_wanted(self, start: dispatching.StartTask) -> bool:
         """Tells whether an order to start still stands."""
@@ -194,6 +205,8 @@
             wait_ms = 0.0 if failures else self._wait_ms()
 
     def _wait_ms(self) -> float:
+        if self._handler.is_outvoted():
+            return _SHARED_WAIT_MS
         if not self._handler.is_busy(self.worker.id):
             return _IDLE_WAIT_MS
         return _LOSSY_WAIT_MS if self._handler.is_lossy() else _BUSY_WAIT_MS
@@ -256,7 +269,12 @@
         asked = self._acknowledged.mark
         try:
             report = await self._client.hold(
-                self.worker, handler.fence(), asked.number, wait_ms, prolong
+                self.worker,
+                handler.fence(),
+                asked.number,
+                wait_ms,
+                prolong,
+                handler.spare_ms(),
             )
         except endpoints.WorkerUnreachable:
             self._acknowledged.call_lost()
@@ -285,6 +303,7 @@
             start.attempt,
             start.payload,
             prolong,
+            self._handler.spare_ms(),
         )
         self._take_reply(reply)
         on_reply(start, reply)
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -86,6 +86,7 @@
         acknowledged: int,
         wait_ms: float,
         prolong: bool = True,
+        spare_ms: float = 0.0,
     ) -> model.WorkerReport:
         """Asks what runs; see the base class."""
         asked_at = self._clock.now()
@@ -94,7 +95,7 @@
             'last_seen': acknowledged,
             'wait_ms': int(wait_ms),
         }
-        lease_end = self._lease_end(worker, self._lease_ms)
+        lease_end = self._lease_end(worker, self._lease_ms - spare_ms)
         if prolong and lease_end is not None:
             # A time on the minion's clock, and of the leases, not of work.
             body['deadline_ms'] = lease_end
@@ -121,9 +122,10 @@
         attempt: int,
         payload: str,
         prolong: bool = True,
+        spare_ms: float = 0.0,
     ) -> model.OrderReply:
         """Starts an attempt; see the base class."""
-        lease_ms = self._lease_ms if prolong else _ORDER_WAY_MS
+        lease_ms = self._lease_ms - spare_ms if prolong else _ORDER_WAY_MS
         body = {
             'task': _task_name(task),
             'attempt': attempt,
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -25,6 +25,7 @@
 _ANSWER_MS = 120.0
 _BUSY_WAIT_MS = 300.0
 _IDLE_WAIT_MS = 900.0
+_SHARED_WAIT_MS = 100.0
 _BACKOFF_MS = 400.0
 _RELINK_MS = 100.0
 _LEASE_MS = 1_000.0
@@ -137,15 +138,15 @@
             self._end(key, model.TaskEnd.STOPPED)
 
     def hold(
-        self, fence: int, acknowledged: int, prolong: bool, now: float
+        self, fence: int, acknowledged: int, lease_ms: float, now: float
     ) -> bool:
         """Prolongs leases; tells whether the fence is high enough."""
         if fence < self._fence:
             return False
         self._fence = fence
         self._ended = [row for row in self._ended if row.number > acknowledged]
-        if prolong:
-            self._lease_end = max(self._lease_end, now + _LEASE_MS)
+        if lease_ms:
+            self._lease_end = max(self._lease_end, now + lease_ms)
         return True
 
     @property
@@ -613,10 +614,12 @@
             reply = model.OrderReply(model.OrderResult.NOT_SENT)
             self._reply(vm, dispatcher, order, reply)
             return
-        prolong = dispatcher.may_prolong(order.worker)
+        prolong = dispatcher.may_prolong(order.worker, self.now)
         dispatcher.held(order.worker, self.now)
         fence = vm.leadership.fence
-        lease_ms = _LEASE_MS if prolong else _ORDER_WAY_MS
+        lease_ms = _LEASE_MS - dispatcher.spare_ms
+        if not prolong:
+            lease_ms = _ORDER_WAY_MS
         result = model.OrderResult.UNKNOWN
         if self._takes_order(vm, order.worker):
             worker = self.worker_by_id[order.worker]
@@ -713,9 +716,12 @@
         if held.question and not held.failures:
             is_busy = dispatcher.has_work(worker_id)
             wait_ms = _BUSY_WAIT_MS if is_busy else _IDLE_WAIT_MS
+            if dispatcher.is_outvoted:
+                wait_ms = _SHARED_WAIT_MS
         held.question += 1
         held.next_at = self.now + _LONG_MS
-        prolong = dispatcher.may_prolong(worker_id)
+        prolong = dispatcher.may_prolong(worker_id, self.now)
+        lease_ms = _LEASE_MS - dispatcher.spare_ms if prolong else 0.0
         dispatcher.held(worker_id, self.now)
         asked = held.acknowledged.mark
         question = (vm, dispatcher, worker_id, held.question, self.now, asked)
@@ -723,7 +729,7 @@
             worker = self.worker_by_id[worker_id]
             worker.settle(self.now)
             fence = vm.leadership.fence
-            if not worker.hold(fence, asked.number, prolong, self.now):
+            if not worker.hold(fence, asked.number, lease_ms, self.now):
                 vm.leadership.fenced(vm.leadership.fence)
                 held.next_at = self.now + 2 * _HOP_MS
                 return
@@ -796,7 +802,8 @@
         dispatcher = vm.dispatcher
         if dispatcher is None or not vm.leadership.may_order(self.now):
             return
-        prolong = dispatcher.may_prolong(worker_id)
+        prolong = dispatcher.may_prolong(worker_id, self.now)
+        lease_ms = _LEASE_MS - dispatcher.spare_ms if prolong else 0.0
         dispatcher.held(worker_id, self.now)
         if not self._reaches(vm.name, worker_id):
             return
@@ -804,7 +811,7 @@
         worker.settle(self.now)
         asked = vm.held_by_worker[worker_id].acknowledged.mark
         fence = vm.leadership.fence
-        if not worker.hold(fence, asked.number, prolong, self.now):
+        if not worker.hold(fence, asked.number, lease_ms, self.now):
             return
         report = worker.report(self.now, self.now)
         if self._reaches(worker_id, vm.name):
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -32,9 +32,9 @@
     def test_a_first_question_prolongs_nothing(self) -> None:
         """What another dispatcher takes for lapsed would run on."""
         self.list_workers(case.make_worker('w1'))
-        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
         self.report('w1')
-        self.assertTrue(self.dispatcher.may_prolong('w1'))
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
 
     def test_found_attempts_are_not_prolonged_until_they_are_gone(
         self,
@@ -43,12 +43,12 @@
         self.list_workers(case.make_worker('w1'))
         foreign = self._foreign()
         self.report('w1', running=((foreign, 10.0),))
-        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
         self.pass_time(300)
         stops = self.stops()
-        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
         self.answer(stops[0])
-        self.assertTrue(self.dispatcher.may_prolong('w1'))
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
 
     def test_attempts_that_were_given_up_are_not_prolonged(self) -> None:
         """A home is lost, and another dispatcher starts its tasks anew."""
@@ -56,10 +56,10 @@
         start = self._run_one()
         self.take(self.dispatcher.home_lost(case.HOME, self.now))
         self.report('w1', running=((start, 10.0),))
-        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
         [stop] = self.stops()
         self.answer(stop)
-        self.assertTrue(self.dispatcher.may_prolong('w1'))
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
 
     def test_a_start_under_the_leases_of_others_may_last_as_long(
         self,
@@ -121,9 +121,9 @@
         self.now += 100
         running = ((start, 10.0), (self._foreign(), 10.0))
         self.report('w1', running=running)
-        self.assertTrue(self.dispatcher.may_prolong('w1'))
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
         self._lose_majority()
-        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
 
     def test_without_most_nothing_lapses_that_others_may_prolong(
         self,
@@ -150,3 +150,21 @@
         self._lose_majority()
         self._go_silent(900)
         self.assertEqual(1, len(self.starts()))
+
+    def test_without_most_only_fresh_news_let_a_lease_be_prolonged(
+        self,
+    ) -> None:
+        """The dispatcher has begun to use a worker since it last told.
+
+        Prolonged by half of a lease more, its tasks would run on after it
+        has taken them for lapsed.
+        """
+        self.add_workers('w1')
+        self._lose_majority()
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
+        self.now += 151
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
+        self.assertEqual(150.0, self.dispatcher.spare_ms)
+        self.dispatcher.lead_most(True, self.now)
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
+        self.assertEqual(0.0, self.dispatcher.spare_ms)
--- a/tests/dispatching/test_lives.py
+++ b/tests/dispatching/test_lives.py
@@ -250,10 +250,10 @@
     def test_it_is_silent_no_more(self) -> None:
         """Its entry tells that a silent worker has started again."""
         self.take(self.dispatcher.silent('w1', 'no answer', self.now))
-        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
         self.list_born(_SECOND)
         self.report('w1', born=_SECOND, worker_clock=7.0)
-        self.assertTrue(self.dispatcher.may_prolong('w1'))
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
         self.submit(case.make_job())
         self.assertEqual(1, len(self.starts()))
 
--- a/tests/dispatching/test_takeover.py
+++ b/tests/dispatching/test_takeover.py
@@ -91,7 +91,9 @@
         self.answer(start)
         self.take(self.dispatcher.silent(start.worker, 'cut off', self.now))
         for _ in range(8):
-            self.assertFalse(self.dispatcher.may_prolong(start.worker))
+            self.assertFalse(
+                self.dispatcher.may_prolong(start.worker, self.now)
+            )
             self.dispatcher.held(start.worker, self.now)
             self.pass_time(150)
         [again] = self.starts()
@@ -159,13 +161,13 @@
         """
         self._act_as(deputy=True)
         self.submit(case.make_job('ours'))
-        self.assertFalse(self.dispatcher.may_prolong('w1'))
+        self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
         self.assertEqual([], self.starts())
         self.pass_time(500)
         self.assertEqual([], self.starts())
         lapsed = (self.foreign, model.TaskEnd.LAPSED)
         self.report('w1', ended=(lapsed,))
-        self.assertTrue(self.dispatcher.may_prolong('w1'))
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
         self.assertEqual(1, len(self.starts()))
 
     def test_a_deputy_shares_a_worker_that_another_one_holds(self) -> None:
--- a/tests/platform_adapter/test_minions.py
+++ b/tests/platform_adapter/test_minions.py
@@ -107,6 +107,14 @@
         self.assertIs(_Result.DONE, reply.result)
         self.assertEqual(ends, self.minion.lease_ends)
 
+    async def test_leases_may_end_sooner_than_the_longest_ones(self) -> None:
+        """Another dispatcher's tasks must not last by this one's calls."""
+        await self._hold()
+        await self._hold(spare_ms=600.0)
+        self.assertLess(
+            self.minion.lease_ends, (await self._hold()).worker_clock + 500
+        )
+
     async def test_another_life_answers(self) -> None:
         """A minion crashed, and a new one listens at its address."""
         await self._hold()
