--- /dev/null
+++ b/tests/dispatching/test_drawn_faults.py
@@ -0,0 +1,42 @@
+"""Tests that no drawn series of faults doubles a task."""
+
+import asyncio
+import unittest
+
+from tests.dispatching import drawn_faults
+
+_SEEDS = range(1_000, 1_040)
+
+# Each has doubled a task once.
+_ONCE_BROKEN = (1_188,)
+
+
+class DrawnFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """Several faults at a time let no task run twice."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+
+    async def _play(self, seed: int) -> None:
+        with self.subTest(seed):
+            faults = drawn_faults.DrawnFaults(seed)
+            await faults.play()
+            await faults.service.close()
+            self.assertEqual([], faults.service.doubled)
+            self.assertGreater(faults.service.starts, 0)
+
+    async def test_seeds(self) -> None:
+        for seed in _SEEDS:
+            await self._play(seed)
+
+    async def test_seeds_that_have_doubled_a_task(self) -> None:
+        for seed in _ONCE_BROKEN:
+            await self._play(seed)
+
+    async def test_a_one_way_cut_beside_lost_orders(self) -> None:
+        """A start that its home wasn't told of, and a stop that gets lost."""
+        await self._play(1_235)
+
+    async def test_late_orders_beside_cuts(self) -> None:
+        """Orders come late in a cut domain, and a one-way cut follows."""
+        await self._play(1_259)
