--- a/tests/platform_adapter/test_minions.py
+++ b/tests/platform_adapter/test_minions.py
@@ -1,5 +1,6 @@
 """Tests of orders to the users' minions."""
 
+import asyncio
 import contextlib
 import unittest
 
@@ -115,6 +116,21 @@
             self.minion.lease_ends, (await self._hold()).worker_clock + 500
         )
 
+    async def test_a_run_lapses_at_the_end_of_its_lease(self) -> None:
+        """Told of late, it would seem to run beside the next attempt."""
+        self.minion.work_ms = 300
+        await self._hold()
+        await self._hold(spare_ms=900.0)
+        reply = await self.client.start(
+            self.worker, 1, _TASK, 1, 'payload', spare_ms=900.0
+        )
+        self.assertIs(_Result.DONE, reply.result)
+        await asyncio.sleep(0.5)
+        self.assertEqual([], self.minion.running())
+        [run] = self.minion.runs
+        self.assertEqual('lapsed', run.end)
+        self.assertLess(run.ended - run.began, 0.2)
+
     async def test_another_life_answers(self) -> None:
         """A minion crashed, and a new one listens at its address."""
         await self._hold()
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -217,11 +217,18 @@
             self.lease_ends = max(self.lease_ends, min(until, most))
 
     def _let_lapse(self) -> None:
-        if self.clock_ms() <= self.lease_ends:
+        late_ms = self.clock_ms() - self.lease_ends
+        if late_ms <= 0:
             return
         for run in self.runs:
             if run.ended is None:
                 self._end(run, 'lapsed')
+                # It was gone at the end of its lease, whoever asked since.
+                run.ended -= late_ms / self.clock_rate / MS_PER_SECOND
+
+    def _finish(self, run: Run) -> None:
+        self._let_lapse()
+        self._end(run, 'done')
 
     def _end(self, run: Run, end: str) -> None:
         if run.ended is not None:
@@ -259,7 +266,7 @@
             self._end(run, 'failed')
         elif not self.faults.hang:
             asyncio.get_running_loop().call_later(
-                run.work_ms / MS_PER_SECOND, self._end, run, 'done'
+                run.work_ms / MS_PER_SECOND, self._finish, run
             )
         return await self._reply()
 
