--- a/rosemaryroad/platform/_decoding.py
+++ b/rosemaryroad/platform/_decoding.py
@@ -17,7 +17,7 @@
 _STATES = frozenset({'ready', 'draining'})
 
 
-class _Damaged(Exception):
+class _Damaged(ValueError):
     """An entry doesn't have the form that it must have."""
 
 
@@ -33,7 +33,7 @@
         entries = raw.get('routes')
         if not isinstance(entries, list):
             raise _Damaged('routes')
-    except (ValueError, RecursionError, _Damaged) as error:
+    except (ValueError, RecursionError) as error:
         _skipped('configuration', error)
         return None
     routes = []
@@ -76,13 +76,25 @@
             ),
             labels=_labels(raw),
             leaving=state == 'draining',
-            born=None if 'born' not in raw else _whole(raw, 'born'),
+            born=read_born(raw),
         )
-    except (ValueError, RecursionError, _Damaged) as error:
+    except (ValueError, RecursionError) as error:
         _skipped(key, error)
         return None
 
 
+def read_born(raw: dict[str, typing.Any]) -> int | None:
+    """Reads when the life that an entry or a report is of began.
+
+    Returns:
+        Unix milliseconds, or None where it isn't told.
+
+    Raises:
+        ValueError: It is no whole number.
+    """
+    return None if 'born' not in raw else _whole(raw, 'born')
+
+
 def _read_route(raw: dict[str, typing.Any]) -> model.QueueRoute:
     return model.QueueRoute(
         name=_text(raw, 'name'),
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -10,6 +10,7 @@
 from rosemaryroad import clock as clock_module
 from rosemaryroad import endpoints
 from rosemaryroad import model
+from rosemaryroad.platform import _decoding
 from rosemaryroad.platform import _http
 from rosemaryroad.platform import _sockets
 
@@ -218,7 +219,7 @@
         if not _is_number(clock_ms):
             return
         try:
-            born = _read_born(body)
+            born = _decoding.read_born(body)
         except ValueError:
             return
         known = self._offset_by_worker.get(worker.id)
@@ -285,19 +286,10 @@
         asked_at,
         tuple(running),
         tuple(ended),
-        born=_read_born(body),
+        born=_decoding.read_born(body),
     )
 
 
-def _read_born(body: dict[str, typing.Any]) -> int | None:
-    if 'born' not in body:
-        return None
-    born = body['born']
-    if type(born) is not int or born < 0:
-        raise ValueError('born')
-    return born
-
-
 def _task_name(task: model.TaskId) -> str:
     return f'{task.job}.{task.occurrence}.{task.step}.{task.index}'
 
