--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -135,8 +135,11 @@
         """Tells whether more than half of all VMs follow this one.
 
         Two dispatchers that don't hear each other may both hear most VMs,
-        through some that hear both; these follow one of them.
+        through some that hear both; these follow one of them. A deputy never
+        does: whoever it can't hear may dispatch.
         """
+        if self._claim is model.Claim.DEPUTY:
+            return False
         followers = {
             vm: pulse
             for vm, pulse in self._signs.fresh(now).items()
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -241,9 +241,7 @@
 
     def _count_votes(self) -> None:
         now = self._clock.now()
-        is_deputy = self._leadership.role.claim is model.Claim.DEPUTY
-        leads_most = not is_deputy and self._leadership.leads_most(now)
-        self._dispatcher.lead_most(leads_most, now)
+        self._dispatcher.lead_most(self._leadership.leads_most(now), now)
 
     # Actions.
 
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -464,8 +464,7 @@
         self._pulse_if_due(vm)
 
     def _count_votes(self, vm: _Vm) -> None:
-        is_deputy = vm.role.claim is model.Claim.DEPUTY
-        leads_most = not is_deputy and vm.leadership.leads_most(self.now)
+        leads_most = vm.leadership.leads_most(self.now)
         vm.dispatcher.lead_most(leads_most, self.now)
 
     def _claim(self, vm: _Vm) -> None:
