Make an order to start valid for 300 ms instead of a whole lease

Callers saw a task done twice.

Cause: an order to start carried the end of a whole lease (1 s) as its deadline, so a worker that received it late could accept it up to 1 s after it was sent. A dispatcher that most VMs don't follow had asked the worker before that, found it empty, and prolonged its leases by 850 ms. The task then began, 900 ms late, and ran on under these leases. The dispatcher that had started it heard nothing from the worker, took the task for lapsed 1,070 ms after its last call, and started it elsewhere.

An order to start is now valid for 300 ms, or three tenths of a lease where that is less, and leases come from the hold calls. A start that finds less than six tenths of a lease left has the worker asked at once, which prolongs the lease. A dispatcher that most VMs don't follow prolongs leases by 300 ms less than before: by 550 ms instead of 850 ms. Its leases therefore end no later than 1 s after the order of any task that it hasn't seen, which is what the dispatcher that started the task assumes.

An answer that is read late no longer sets the estimate of a worker's clock back by as much. Otherwise the orders of a VM that is slowed down would be refused as late.

Tests: test_without_most_only_fresh_news_let_a_lease_be_prolonged compared spare_ms with 150 ms. By the sum above it is now 450 ms, so the check is stricter. test_a_start_that_must_not_prolong_leaves_leases_as_they_are and two more pass the validity of the order in place of the arguments from which the client derived it.

--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -8,6 +8,12 @@
 from rosemaryroad.dispatching import _state
 from rosemaryroad.dispatching import _waiting
 
+# A worker refuses an order to start that arrives later than this. Delivery
+# usually takes 2 ms, and some tens of milliseconds to a VM that is slowed
+# down. The share is of a lease, for leases that are short.
+_MAX_ORDER_VALIDITY_MS = 300.0
+_ORDER_VALIDITY_SHARE = 0.3
+
 # A worker's clock may run 2 % slow, and its answer takes its time.
 _CLOCK_DRIFT = 1.02
 _LAPSE_MARGIN_MS = 50.0
@@ -32,6 +38,16 @@
     lease_ms: float = 1_000.0
     remote_factor: float = 3.0
 
+    @property
+    def order_validity_ms(self) -> float:
+        """How long after it was sent an order to start is valid.
+
+        A report that is requested later shows whether the task was started.
+        """
+        return min(
+            _MAX_ORDER_VALIDITY_MS, _ORDER_VALIDITY_SHARE * self.lease_ms
+        )
+
     @property
     def lapse_ms(self) -> float:
         """How long after the last prolongation nothing runs any more."""
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -201,10 +201,20 @@
         starting = _state.OrderPhase.STARTING
         return order is not None and order.phase is starting
 
+    def order_validity_ms(self, worker_id: str, now: float) -> float:
+        """Returns how long an order to start that is sent now is valid."""
+        worker = self._context.workers_by_id[worker_id]
+        return _holding.order_validity_ms(self._context, worker, now)
+
+    def start_sent(self, worker_id: str, now: float) -> None:
+        """Notes that an order to start is sent now."""
+        self._context.workers_by_id[worker_id].held_at = now
+
     def held(self, worker_id: str, now: float) -> None:
         """Notes that a call which prolongs leases goes out now."""
         if self.may_prolong(worker_id, now):
-            self._context.workers_by_id[worker_id].held_at = now
+            worker = self._context.workers_by_id[worker_id]
+            _holding.held(self._context, worker, now)
 
     def reported(
         self, worker_id: str, report: model.WorkerReport, now: float
--- a/rosemaryroad/dispatching/_holding.py
+++ b/rosemaryroad/dispatching/_holding.py
@@ -17,11 +17,21 @@
 from rosemaryroad.dispatching import _state
 
 # What another dispatcher has started since a worker last told isn't known
-# here. One that most VMs don't follow prolongs on fresh news only, and by so
-# much less than a lease: the other's tasks last no longer by it than by the
-# call that started them.
+# here. A dispatcher that most VMs don't follow prolongs leases only within
+# this time of a report, and makes them shorter by this time and the validity
+# of an order to start. So it keeps no task of the other one running for
+# longer than a lease after the order that started it.
 _FRESH_MS = 150.0
 
+# The validity of an order to start that must not prolong leases: little more
+# than its delivery takes.
+_ORDER_WAY_MS = 40.0
+
+# With less than this share of a lease left, a start has the leases prolonged
+# at once. A busy worker, which is asked every 300 ms, has more left; an idle
+# one is asked a third as often.
+_MIN_LEASE_SHARE = 0.6
+
 
 def may_prolong(
     context: _context.Context, worker: _state.WorkerState, now: float
@@ -51,7 +61,39 @@
 
 def spare_ms(context: _context.Context) -> float:
     """Returns how much sooner leases end than the longest ones would."""
-    return _FRESH_MS if context.is_outvoted else 0.0
+    if not context.is_outvoted:
+        return 0.0
+    return _FRESH_MS + context.limits.order_validity_ms
+
+
+def order_validity_ms(
+    context: _context.Context, worker: _state.WorkerState, now: float
+) -> float:
+    """Returns how long an order to start that is sent now is valid."""
+    if may_prolong(context, worker, now):
+        return context.limits.order_validity_ms
+    return _ORDER_WAY_MS
+
+
+def held(
+    context: _context.Context, worker: _state.WorkerState, now: float
+) -> None:
+    """Notes that a call which prolongs leases is sent now."""
+    worker.held_at = now
+    worker.leased_until = now + context.limits.lease_ms - spare_ms(context)
+
+
+def needs_prolonging(
+    context: _context.Context, worker: _state.WorkerState, now: float
+) -> bool:
+    """Tells whether leases should be prolonged for a task that starts now.
+
+    An order to start prolongs them only until it expires.
+    """
+    if not may_prolong(context, worker, now):
+        return False
+    longest_ms = context.limits.lease_ms - spare_ms(context)
+    return worker.leased_until - now < _MIN_LEASE_SHARE * longest_ms
 
 
 def keeps_tasks(
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -201,3 +201,5 @@
             now - state.arrived,
         )
     )
+    if _holding.needs_prolonging(context, worker, now):
+        context.ask(_actions.LookAt(worker.worker.id))
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -198,6 +198,7 @@
         held_at: When a call that prolongs its leases was last sent, or may
             have been by another dispatcher, or a task was last started or
             found.
+        leased_until: Until when this dispatcher last prolonged its leases.
         heard_at: When it last told what it runs.
         looked_at: When it was last asked out of turn.
         proved_at: When a task there was last seen at an ordinary pace.
@@ -229,6 +230,7 @@
     taken_up_at: float | None = None
     silent_since: float | None = None
     held_at: float = 0.0
+    leased_until: float = 0.0
     heard_at: float = 0.0
     looked_at: float = 0.0
     proved_at: float = 0.0
--- a/rosemaryroad/endpoints/_workers.py
+++ b/rosemaryroad/endpoints/_workers.py
@@ -71,10 +71,12 @@
         task: model.TaskId,
         attempt: int,
         payload: str,
-        prolong: bool = True,
-        spare_ms: float = 0.0,
+        order_validity_ms: float,
     ) -> model.OrderReply:
-        """Starts an attempt, at most once and not after its lease.
+        """Starts an attempt at most once, unless the order has expired.
+
+        The attempt runs under the worker's leases, which are prolonged at
+        least until the order expires.
 
         Args:
             worker: The worker.
@@ -82,9 +84,7 @@
             task: Which task.
             attempt: Which attempt of it.
             payload: What the task is given.
-            prolong: Whether the leases are prolonged. If not, the attempt
-                runs under those that another VM prolongs.
-            spare_ms: How much sooner they end than the longest ones.
+            order_validity_ms: How long from now the order is valid.
         """
 
     @abc.abstractmethod
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -178,6 +178,14 @@
         dispatcher = self._dispatcher
         return dispatcher is not None and dispatcher.is_wanted(start)
 
+    def order_validity_ms(self, worker: str) -> float:
+        """Returns how long an order to start that is sent now is valid."""
+        return self._dispatcher.order_validity_ms(worker, self._clock.now())
+
+    def start_sent(self, worker: str) -> None:
+        """Notes that an order to start is sent now."""
+        self._dispatcher.start_sent(worker, self._clock.now())
+
     def held(self, worker: str) -> None:
         """Notes that a call which prolongs leases goes out."""
         if self._dispatcher is not None:
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -81,6 +81,14 @@
     def is_wanted(self, start: dispatching.StartTask) -> bool:
         """Tells whether an order to start still stands."""
 
+    @abc.abstractmethod
+    def order_validity_ms(self, worker: str) -> float:
+        """Returns how long an order to start that is sent now is valid."""
+
+    @abc.abstractmethod
+    def start_sent(self, worker: str) -> None:
+        """Notes that an order to start is sent now."""
+
     @abc.abstractmethod
     def held(self, worker: str) -> None:
         """Notes that a call which prolongs leases goes out."""
@@ -293,8 +301,7 @@
         if not wanted or not self._handler.may_order():
             on_reply(start, model.OrderReply(model.OrderResult.NOT_SENT))
             return
-        prolong = self._handler.may_prolong(self.worker.id)
-        self._handler.held(self.worker.id)
+        self._handler.start_sent(self.worker.id)
         fence = self._handler.fence()
         reply = await self._client.start(
             self.worker,
@@ -302,8 +309,7 @@
             start.task,
             start.attempt,
             start.payload,
-            prolong,
-            self._handler.spare_ms(),
+            self._handler.order_validity_ms(self.worker.id),
         )
         self._take_reply(reply)
         on_reply(start, reply)
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -25,9 +25,12 @@
 _ORDER_TIMEOUT_MS = 120.0
 _CONNECT_TIMEOUT_MS = 120.0
 
-# An order to start has to name an end of the leases. One that must not
-# prolong them leaves itself little more than its way.
-_ORDER_WAY_MS = 40.0
+# The share by which a minion's monotonic clock may run slow.
+_CLOCK_DRIFT = 0.02
+
+# An answer whose clock is behind by more was not just read late: it comes from
+# another life of the minion.
+_MAX_READ_DELAY_MS = 500.0
 
 # Connections that are used again save a handshake each; a minion sees some
 # eight orders a second, so one that is idle for longer isn't needed.
@@ -60,10 +63,16 @@
     Attributes:
         ms: By how much it is ahead, as of an answer.
         born: The life that answered, or None where that was not told.
+        read_at: When that answer was read.
     """
 
     ms: float
     born: int | None
+    read_at: float
+
+    def lower_bound_ms(self, now: float) -> float:
+        """Returns the least by which it may be ahead now."""
+        return self.ms - _CLOCK_DRIFT * (now - self.read_at)
 
 
 class MinionClient(endpoints.WorkerClient):
@@ -122,17 +131,15 @@
         task: model.TaskId,
         attempt: int,
         payload: str,
-        prolong: bool = True,
-        spare_ms: float = 0.0,
+        order_validity_ms: float,
     ) -> model.OrderReply:
         """Starts an attempt; see the base class."""
-        lease_ms = self._lease_ms - spare_ms if prolong else _ORDER_WAY_MS
         body = {
             'task': _task_name(task),
             'attempt': attempt,
             'spec': payload,
             # An order that is carried out seconds later is refused by it.
-            'deadline_ms': self._lease_end(worker, lease_ms) or 0,
+            'deadline_ms': self._lease_end(worker, order_validity_ms) or 0,
             'fence': fence,
         }
         return await self._order(worker, '/api/run-start', body)
@@ -165,7 +172,8 @@
         offset = self._offset_by_worker.get(worker.id)
         if offset is None or model.is_earlier_life(offset.born, worker.born):
             return None
-        return int(self._clock.now() + offset.ms + lease_ms)
+        now = self._clock.now()
+        return int(now + offset.lower_bound_ms(now) + lease_ms)
 
     async def _order(
         self, worker: model.Worker, path: str, body: dict[str, typing.Any]
@@ -228,8 +236,15 @@
             is_report = 'running' in body
             if model.is_earlier_life(born, known.born) or not is_report:
                 return
-        offset_ms = clock_ms - self._clock.now()
-        self._offset_by_worker[worker.id] = _ClockOffset(offset_ms, born)
+        now = self._clock.now()
+        offset_ms = clock_ms - now
+        if known is not None and known.born == born:
+            delay_ms = known.lower_bound_ms(now) - offset_ms
+            if 0.0 < delay_ms < _MAX_READ_DELAY_MS:
+                # The answer was read late. With too low an offset, the
+                # minion would refuse orders as late.
+                offset_ms += delay_ms
+        self._offset_by_worker[worker.id] = _ClockOffset(offset_ms, born, now)
 
     def _open_session(self) -> aiohttp.ClientSession:
         # A session belongs to the loop that runs when it is made.
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -275,6 +275,8 @@
         )
         report = model.WorkerReport(self.now, self.now, running, tuple(rows))
         self._do(self.dispatcher.reported(worker, report, self.now))
+        # The next hold call is sent at once.
+        self.dispatcher.held(worker, self.now)
 
     def _tallies(self) -> dict[str, Tally]:
         tallies = {kind.queue: Tally() for kind in self._kinds}
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -29,7 +29,6 @@
 _BACKOFF_MS = 400.0
 _RELINK_MS = 100.0
 _LEASE_MS = 1_000.0
-_ORDER_WAY_MS = 40.0
 _LONG_MS = 3_600_000.0
 _FIRST_BORN_MS = 1_700_000_000_000
 _LIMITS = dispatching.DispatchLimits(lease_ms=_LEASE_MS)
@@ -613,12 +612,9 @@
             reply = model.OrderReply(model.OrderResult.NOT_SENT)
             self._reply(vm, dispatcher, order, reply)
             return
-        prolong = dispatcher.may_prolong(order.worker, self.now)
-        dispatcher.held(order.worker, self.now)
+        dispatcher.start_sent(order.worker, self.now)
         fence = vm.leadership.fence
-        lease_ms = _LEASE_MS - dispatcher.spare_ms
-        if not prolong:
-            lease_ms = _ORDER_WAY_MS
+        lease_ms = dispatcher.order_validity_ms(order.worker, self.now)
         result = model.OrderResult.UNKNOWN
         if self._takes_order(vm, order.worker):
             worker = self.worker_by_id[order.worker]
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -151,6 +151,32 @@
         self._go_silent(900)
         self.assertEqual(1, len(self.starts()))
 
+    def test_orders_to_start_expire_sooner_than_a_lease(self) -> None:
+        """A late start would run on under another dispatcher's leases."""
+        self.add_workers('w1')
+        self.assertEqual(
+            300.0, self.dispatcher.order_validity_ms('w1', self.now)
+        )
+        self._lose_majority()
+        self.now += 151
+        self.assertEqual(
+            40.0, self.dispatcher.order_validity_ms('w1', self.now)
+        )
+
+    def test_a_start_on_a_short_lease_has_it_prolonged(self) -> None:
+        """The answer to the hold call of an idle worker gets lost."""
+        self.add_workers('w1', 'w2')
+        self.dispatcher.held('w1', self.now)
+        self.dispatcher.held('w2', self.now)
+        self.pop(dispatching.LookAt)
+        self._run_one()
+        self.assertEqual([], self.pop(dispatching.LookAt))
+        self.now += 500
+        self.submit(case.make_job('late'), 60_000.0)
+        [start] = self.starts()
+        [look] = self.pop(dispatching.LookAt)
+        self.assertEqual(start.worker, look.worker)
+
     def test_without_most_only_fresh_news_let_a_lease_be_prolonged(
         self,
     ) -> None:
@@ -164,7 +190,7 @@
         self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
         self.now += 151
         self.assertFalse(self.dispatcher.may_prolong('w1', self.now))
-        self.assertEqual(150.0, self.dispatcher.spare_ms)
+        self.assertEqual(450.0, self.dispatcher.spare_ms)
         self.dispatcher.lead_most(True, self.now)
         self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
         self.assertEqual(0.0, self.dispatcher.spare_ms)
--- a/tests/platform_adapter/test_minions.py
+++ b/tests/platform_adapter/test_minions.py
@@ -13,6 +13,7 @@
 from tests.standins import job_minion
 
 _Result = model.OrderResult
+_LEASE_MS = 1_000.0
 _TASK = model.TaskId('0123456789abcdef', 3)
 
 
@@ -23,7 +24,7 @@
         self.minion = job_minion.JobMinion('i1', work_ms=60_000)
         await self.minion.start()
         self.addAsyncCleanup(self.minion.stop)
-        self.client = platform.MinionClient(1_000.0, clock.Clock())
+        self.client = platform.MinionClient(_LEASE_MS, clock.Clock())
         self.addAsyncCleanup(self.client.close)
         self.worker = self._worker(self.minion.address)
 
@@ -38,7 +39,7 @@
         self, attempt: int = 1, fence: int = 1, task: model.TaskId = _TASK
     ) -> model.OrderResult:
         reply = await self.client.start(
-            self.worker, fence, task, attempt, 'payload'
+            self.worker, fence, task, attempt, 'payload', _LEASE_MS
         )
         return reply.result
 
@@ -95,6 +96,22 @@
         """An order whose lease can't be told from the past is refused."""
         self.assertIs(_Result.TOO_LATE, await self._start())
 
+    async def test_an_answer_that_is_read_late_makes_no_order_late(
+        self,
+    ) -> None:
+        """The minion would refuse orders of a VM that is slowed down."""
+        manual_clock = clock.ManualClock(1_000.0)
+        self.client = platform.MinionClient(_LEASE_MS, manual_clock)
+        self.addAsyncCleanup(self.client.close)
+        await self._hold()
+        manual_clock.advance(200)
+        await self._hold()
+        self.minion.advance_clock(200)
+        reply = await self.client.start(
+            self.worker, 1, _TASK, 1, 'payload', order_validity_ms=100.0
+        )
+        self.assertIs(_Result.DONE, reply.result)
+
     async def test_a_start_that_must_not_prolong_leaves_leases_as_they_are(
         self,
     ) -> None:
@@ -103,7 +120,7 @@
         await self._hold()
         ends = self.minion.lease_ends
         reply = await self.client.start(
-            self.worker, 1, _TASK, 1, 'payload', prolong=False
+            self.worker, 1, _TASK, 1, 'payload', order_validity_ms=40.0
         )
         self.assertIs(_Result.DONE, reply.result)
         self.assertEqual(ends, self.minion.lease_ends)
@@ -122,7 +139,7 @@
         await self._hold()
         await self._hold(spare_ms=900.0)
         reply = await self.client.start(
-            self.worker, 1, _TASK, 1, 'payload', spare_ms=900.0
+            self.worker, 1, _TASK, 1, 'payload', order_validity_ms=100.0
         )
         self.assertIs(_Result.DONE, reply.result)
         await asyncio.sleep(0.5)
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -171,6 +171,10 @@
     def _life(self) -> dict[str, int]:
         return {'born': self.born_ms} if self.tells_born else {}
 
+    def advance_clock(self, ms: float) -> None:
+        """Sets its clock forward."""
+        self._clock_from -= ms / self.clock_rate / MS_PER_SECOND
+
     def clock_ms(self) -> int:
         """Returns what its clock shows."""
         passed_s = time.monotonic() - self._clock_from
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -105,7 +105,9 @@
     async def _order(self, job: str) -> model.OrderResult:
         await self._report()
         task = model.TaskId(job, 0)
-        reply = await self.client.start(self.known, 1, task, 1, 'payload')
+        reply = await self.client.start(
+            self.known, 1, task, 1, 'payload', 1_000.0
+        )
         return reply.result
 
     async def _report(self) -> model.WorkerReport:
