Start a task only once its homes have recorded where

Callers saw tasks done twice.

Cause: a dispatcher that no one hears, but that hears all others, continues to start tasks after its last message to their homes was delivered. The homes hand the jobs to another dispatcher without knowing where these tasks run. The next dispatcher waited 300 ms, by which time the first one stops its tasks. But orders to stop may be lost, or the first dispatcher may be dead.

No one hears a1's domain from 104.020 s on. a1 starts j1/0 at a-w0 at 104.051 s; its home b1 is never told. Orders to a-w0 are lost from 104.100 s on, so a1's order to stop at 104.500 s has no effect. b1 gets the job as a dispatcher at 104.560 s and starts it again at 104.860 s.

Now a home's record precedes the order, as in a write-ahead log. An order to start is sent once each home of the job has answered that it has recorded the worker (JobProgress.number, PlacementsRecorded). A job that waits for room is recorded as queued in the meantime, and its tasks start as soon as there is room. A home answers only its present dispatcher. The next dispatcher waits for the workers that the home names, or for all workers if the job was queued. The reports of the latter count from 300 ms on, when no order can be in transit. For workers that don't answer, it waits for the length of a lease.

A dispatcher prolongs the leases of a home's tasks, and starts its queued tasks, only within 240 ms (480 in large groups) of sending a message that the home has answered. The home waits as long after receiving that message, so the dispatcher stops first, however long messages are in transit. Homes that have answered nothing for three tenths of that time are probed.

The same fault elsewhere: a home waited 150 ms for its old dispatcher to release a job, while that dispatcher could continue for 240 ms (480); the home now waits 500 ms. If a home returns to a dispatcher that hadn't noticed its absence, the dispatcher takes its job back and asks the workers. A task that is found running while its start is being recorded is adopted. A home that no longer has a job withdraws it.

--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -1,5 +1,7 @@
 """The dispatcher's state, and the changes that keep it consistent."""
 
+import itertools
+
 import attrs
 
 from rosemaryroad import model
@@ -75,6 +77,8 @@
         outvoted_since: Since when no more than half of all VMs follow this
             one, so that another dispatcher may be at work; None while most
             do.
+        silence_ms: How long a home hears nothing from this dispatcher
+            before it may hand its jobs to another one.
         run_times: What tasks take.
         waiting: The jobs with waiting tasks, in order.
         jobs_by_id: All jobs that are not settled.
@@ -83,19 +87,32 @@
         orders_by_task: Every attempt that may run, by task and worker. A
             task is started only while it has none: two at a time would
             leave two results, which one would notice as doubled work.
+        pending_record_by_number: Messages that homes have yet to record,
+            with the orders to start that wait for that.
+        probe_by_number: Probes that homes have not answered yet.
+        acked_sent_at_by_home: When the newest message that a home has
+            answered was sent.
     """
 
     def __init__(
-        self, limits: DispatchLimits, outvoted_since: float | None
+        self,
+        limits: DispatchLimits,
+        outvoted_since: float | None,
+        silence_ms: float,
     ) -> None:
         self.limits = limits
         self.outvoted_since = outvoted_since
+        self.silence_ms = silence_ms
         self.run_times = _run_times.RunTimes()
         self.waiting = _waiting.WaitingJobs(self.run_times)
         self.jobs_by_id: dict[str, _state.JobState] = {}
         self.workers_by_id: dict[str, _state.WorkerState] = {}
         self.orders_by_task: dict[model.TaskId, dict[str, _state.Order]] = {}
         self.expecting: list[_state.JobState] = []
+        self.pending_record_by_number: dict[int, _state.PendingRecord] = {}
+        self.probe_by_number: dict[int, _state.Probe] = {}
+        self.acked_sent_at_by_home: dict[str, float] = {}
+        self._numbers = itertools.count(1)
         self._changes = Changes()
         self._actions: list[_actions.Action] = []
         self._told: list[_state.JobState] = []
@@ -106,12 +123,18 @@
         What homes have to know comes first: one that hears of a start
         after it was made could call a job not run meanwhile.
         """
-        taken = [action for state in self._told for action in _tell(state)]
+        taken = [
+            action for state in self._told for action in self._tell(state)
+        ]
         taken += self._actions
         self._told = []
         self._actions = []
         return taken
 
+    def next_number(self) -> int:
+        """Returns a number for a message that homes have to answer."""
+        return next(self._numbers)
+
     def news_of(self, state: _state.JobState) -> _state.JobNews:
         """Returns what the homes of a job are to be told with the rest."""
         if state.news is None:
@@ -181,6 +204,9 @@
         now: float,
     ) -> None:
         """Has an attempt stopped; its room counts until it is gone."""
+        if order.phase is _state.OrderPhase.PLANNED:
+            self.remove_order(worker, order)
+            return
         if order.phase is not _state.OrderPhase.STOPPED:
             order.phase = _state.OrderPhase.STOPPING
         order.stop_sent_at = now
@@ -255,6 +281,9 @@
         """Takes a job out; what still runs of it is stopped."""
         self.jobs_by_id.pop(state.job.id, None)
         state.is_over = True
+        for number, pending in list(self.pending_record_by_number.items()):
+            if pending.state is state:
+                del self.pending_record_by_number[number]
         for task in state.tasks:
             for vm, order in list(
                 self.orders_by_task.get(task.id, {}).items()
@@ -312,12 +341,25 @@
             worker.suspended_until = 0.0
             self.note('worker_trusted', worker.worker.id, 'a task ended well')
 
-
-def _tell(state: _state.JobState) -> list[_actions.Action]:
-    news = state.news
-    state.news = None
-    attempt = max(task.attempt for task in state.tasks)
-    message = model.JobProgress(
-        state.job.id, attempt, tuple(news.done), tuple(news.placed)
-    )
-    return [_actions.TellHome(vm, message) for vm in state.homes]
+    def _tell(self, state: _state.JobState) -> list[_actions.Action]:
+        news = state.news
+        state.news = None
+        needs_answer = bool(news.starts) or news.queued
+        number = self.next_number() if needs_answer else 0
+        message = model.JobProgress(
+            state.job.id,
+            state.highest_attempt,
+            tuple(news.done),
+            tuple(news.placed),
+            number,
+            news.queued,
+        )
+        if needs_answer:
+            self.pending_record_by_number[number] = _state.PendingRecord(
+                state,
+                message,
+                news.starts,
+                set(state.homes),
+                news.updated_at,
+            )
+        return [_actions.TellHome(vm, message) for vm in state.homes]
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -1,6 +1,7 @@
 """The dispatcher of jobs: events go in, actions come out."""
 
 import collections.abc
+import math
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
@@ -12,6 +13,7 @@
 from rosemaryroad.dispatching import _lives
 from rosemaryroad.dispatching import _load
 from rosemaryroad.dispatching import _queue
+from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
 
@@ -27,12 +29,18 @@
         limits: Figures of the deployment.
         is_deputy: Whether another dispatcher may be at work that can't be
             heard, from the start on.
+        silence_ms: How long a home hears nothing from this dispatcher
+            before it may hand its jobs to another one.
     """
 
     def __init__(
-        self, limits: _context.DispatchLimits, is_deputy: bool = False
+        self,
+        limits: _context.DispatchLimits,
+        is_deputy: bool = False,
+        silence_ms: float = math.inf,
     ) -> None:
-        self._context = _context.Context(limits, 0.0 if is_deputy else None)
+        outvoted_since = 0.0 if is_deputy else None
+        self._context = _context.Context(limits, outvoted_since, silence_ms)
 
     @property
     def worker_ids(self) -> collections.abc.KeysView[str]:
@@ -104,11 +112,19 @@
         context = self._context
         known = context.jobs_by_id.get(message.job.id)
         if known is not None:
-            known.homes.add(home)
             known.deadline = max(known.deadline, now + message.left_ms)
-            _handover.take_again(context, known, message, now)
+            is_resubmitted = home in known.homes and message.attempt > 0
+            if is_resubmitted:
+                _recording.cancel_job_starts(context, known, now)
+            elif home not in known.homes:
+                known.homes.add(home)
+                _recording.home_joined(context, home, known, now)
+            if is_resubmitted or message.attempt > known.highest_attempt:
+                _handover.take_again(context, known, message, now)
             if known.started:
                 _tell_all(context, known)
+            _queue.fill_changed(context, now)
+            _recording.announce_queued(context, known, now)
             return context.take_actions()
         state = _handover.make_state(home, message, now)
         context.jobs_by_id[message.job.id] = state
@@ -116,12 +132,21 @@
         if state.left == 0:
             context.settle(state, model.JobEnd.COMPLETED, 'done before', now)
             return context.take_actions()
-        _handover.find_earlier(context, state, message.placed, now)
+        _handover.find_earlier(context, state, message, now)
         if not state.started and not _queue.could_ever_run(context, state):
             _queue.refuse(context, state, 'no worker is large enough', now)
         _queue.fill_changed(context, now)
+        _recording.announce_queued(context, state, now)
         return context.take_actions()
 
+    def placements_recorded(
+        self, home: str, message: model.PlacementsRecorded, now: float
+    ) -> _Actions:
+        """Takes in that a home has recorded what it was told of a job."""
+        _recording.placements_recorded(self._context, home, message, now)
+        _queue.fill_changed(self._context, now)
+        return self._context.take_actions()
+
     def withdraw(self, home: str, job_id: str, now: float) -> _Actions:
         """Takes a home away; the job ends with its last one."""
         state = self._context.jobs_by_id.get(job_id)
@@ -298,7 +323,7 @@
         for worker in list(context.workers_by_id.values()):
             _checks.check_worker(context, worker, now)
         for state in context.expecting:
-            _handover.stop_expecting(state, now)
+            _handover.stop_expecting(context, state, now)
         context.expecting = [
             state for state in context.expecting if state.unseen
         ]
@@ -307,6 +332,8 @@
             for worker in context.workers_by_id.values()
         )
         context.waiting.refresh(now, cores)
+        _recording.resend_unanswered(context, now)
+        _recording.probe_homes(context, now)
         _queue.refuse_hopeless(context, now)
         self._drop_unlisted()
         _queue.fill(context, now)
@@ -320,6 +347,8 @@
         state.homes.discard(home)
         if not state.homes:
             self._context.forget_job(state, cause, now)
+            return
+        _recording.home_left(self._context, home, state, now)
 
     def _drop_unlisted(self) -> None:
         workers = self._context.workers_by_id
@@ -334,3 +363,5 @@
     for task in state.tasks:
         if task.phase is _state.Phase.DONE:
             news.done.append(task.id.index)
+        for worker in context.orders_by_task.get(task.id, ()):
+            news.placed.append(model.Placement(task.id.index, worker))
--- a/rosemaryroad/dispatching/_handover.py
+++ b/rosemaryroad/dispatching/_handover.py
@@ -6,10 +6,6 @@
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
 
-# A dispatcher that has lost a home stops that home's tasks. It notices the
-# loss when the home does, give or take two signs of life.
-_OTHER_STOPS_MS = 300.0
-
 # Homes hand their jobs to a new dispatcher as soon as they hear of it, some
 # milliseconds after it has; what runs for none of them runs for nobody. It
 # must be gone before its own dispatcher, if that lives on behind a cut,
@@ -46,7 +42,7 @@
 def find_earlier(
     context: _context.Context,
     state: _state.JobState,
-    placed: tuple[model.Placement, ...],
+    message: model.JobSubmitted,
     now: float,
 ) -> None:
     """Looks for attempts of a job that came from another dispatcher.
@@ -54,7 +50,7 @@
     Args:
         context: All jobs and workers.
         state: The job.
-        placed: Where its home knows tasks of it to have been placed.
+        message: The home's submission, with what it has recorded.
         now: The present time.
     """
     for task in state.tasks:
@@ -62,7 +58,7 @@
         for worker_id, order in orders:
             _adopt(context, state, worker_id, order, now)
     if state.started:
-        _expect_reports(context, state, placed, now)
+        _expect_reports(context, state, message, now)
 
 
 def take_again(
@@ -76,19 +72,17 @@
     Its home left, and this VM didn't notice: it was stopped, or a new link
     stood before the old one was gone.
     """
-    if message.attempt <= max(task.attempt for task in state.tasks):
-        return
     for task in state.tasks:
         task.attempt = max(task.attempt, message.attempt)
     state.started = True
     state.came_at = now
-    _expect_reports(context, state, message.placed, now)
+    _expect_reports(context, state, message, now)
 
 
 def _expect_reports(
     context: _context.Context,
     state: _state.JobState,
-    placed: tuple[model.Placement, ...],
+    message: model.JobSubmitted,
     now: float,
 ) -> None:
     """Has all workers asked before the job's tasks start again.
@@ -99,12 +93,20 @@
     """
     if state not in context.expecting:
         context.expecting.append(state)
-    unstopped = now + _OTHER_STOPS_MS
     lapsed = now + context.limits.lapse_ms
+    state.looked_at = now
+    state.reports_valid_from = now
+    # A home that joined the job late may not know all placements.
+    wait_until = now + context.limits.order_validity_ms
+    if message.queued:
+        # Queued tasks are started without a recorded placement, so an order
+        # may still be in transit to any worker.
+        state.reports_valid_from = wait_until
+        wait_until = lapsed
     for key in context.workers_by_id:
-        state.unseen[key] = unstopped
+        state.unseen[key] = wait_until
         context.ask(_actions.LookAt(key))
-    for item in placed:
+    for item in message.placed:
         known = item.index < len(state.tasks)
         if known and state.tasks[item.index].phase is _state.Phase.WAITING:
             state.unseen[item.worker] = lapsed
@@ -129,8 +131,15 @@
         context.stop(worker, order, 'a second attempt', now)
 
 
-def stop_expecting(state: _state.JobState, now: float) -> None:
+def stop_expecting(
+    context: _context.Context, state: _state.JobState, now: float
+) -> None:
     """Gives up waiting for workers whose time has passed."""
+    if state.looked_at < state.reports_valid_from < now:
+        # Answers to the first request don't rule out an order in transit.
+        state.looked_at = now
+        for key in state.unseen:
+            context.ask(_actions.LookAt(key))
     for key, until in list(state.unseen.items()):
         if now >= until:
             del state.unseen[key]
--- a/rosemaryroad/dispatching/_holding.py
+++ b/rosemaryroad/dispatching/_holding.py
@@ -13,6 +13,8 @@
   reached.
 """
 
+import math
+
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _state
 
@@ -41,12 +43,48 @@
         return False
     if context.is_outvoted and now - worker.heard_at > _FRESH_MS:
         return False
+    if not _have_all_homes_answered(context, worker, now):
+        return False
     return not any(
         _may_lapse_elsewhere(context, worker, order)
         for order in worker.unclaimed_by_key.values()
     )
 
 
+def have_homes_answered(
+    context: _context.Context, state: _state.JobState, now: float
+) -> bool:
+    """Tells whether all homes of a job have answered a recent message.
+
+    A home hands a job on only after it has heard nothing for the silence
+    time. Only an answer shows that it hears this dispatcher; its other
+    messages don't.
+    """
+    since = now - context.silence_ms
+    return all(
+        context.acked_sent_at_by_home.get(home, 0.0) >= since
+        for home in state.homes
+    )
+
+
+def _have_all_homes_answered(
+    context: _context.Context, worker: _state.WorkerState, now: float
+) -> bool:
+    """Tells whether the homes of all attempts at a worker have answered.
+
+    If a home has handed its job on, the next dispatcher may be waiting for
+    the leases to lapse.
+    """
+    if math.isinf(context.silence_ms):
+        return True
+    return all(
+        order.job is None
+        or order.phase is _state.OrderPhase.PLANNED
+        or have_homes_answered(context, order.job, now)
+        for order in worker.orders_by_key.values()
+    )
+
+
 def _may_lapse_elsewhere(
     context: _context.Context,
     worker: _state.WorkerState,
--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -157,6 +157,8 @@
     now: float,
 ) -> None:
     """Keeps an attempt that the new life may have begun, or may yet begin."""
+    if order.phase is _state.OrderPhase.PLANNED:
+        return
     order.is_older = True
     order.was_named = False
     order.since_clock = 0.0
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -3,11 +3,11 @@
 import collections.abc
 
 from rosemaryroad import model
-from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _load
 from rosemaryroad.dispatching import _placement
+from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _state
 
 # A job is given up for its deadline only where even a run shorter than
@@ -28,12 +28,17 @@
     context.take_changes()
     pool = _usable(context, context.workers_by_id.values(), now)
     most = _most_free(pool)
+    has_recorded = _has_recorded_job(context)
     for state in context.waiting:
         if most <= 0:
             return
-        if _is_waiting(state) and state.job.needs.cores <= most:
-            _fill_job(context, state, pool, now)
-            most = _most_free(pool)
+        if not _is_waiting(state) or state.job.needs.cores > most:
+            continue
+        if has_recorded and not state.is_queueing_recorded:
+            _recording.announce_queued(context, state, now)
+            continue
+        _fill_job(context, state, pool, now)
+        most = _most_free(pool)
 
 
 def fill_changed(context: _context.Context, now: float) -> None:
@@ -53,9 +58,13 @@
         return
     pool = _usable(context, changes.workers_by_id.values(), now)
     most = _most_free(pool)
+    has_recorded = _has_recorded_job(context)
     for state in context.waiting:
         if not _is_waiting(state):
             continue
+        if has_recorded and not state.is_queueing_recorded:
+            _recording.announce_queued(context, state, now)
+            continue
         if state.job.id in changes.jobs_by_id:
             everyone = context.workers_by_id.values()
             _fill_job(context, state, _usable(context, everyone, now), now)
@@ -70,6 +79,19 @@
     return bool(state.waiting) and not state.is_over and not state.unseen
 
 
+def _has_recorded_job(context: _context.Context) -> bool:
+    """Tells whether a waiting job is recorded as queued by its homes.
+
+    Such a job starts without a further answer. While there is one, jobs that
+    aren't recorded yet take no room, which would be idle until their homes
+    have answered.
+    """
+    return any(
+        state.is_queueing_recorded and _is_waiting(state)
+        for state in context.waiting
+    )
+
+
 def _usable(
     context: _context.Context,
     workers: collections.abc.Iterable[_state.WorkerState],
@@ -186,20 +208,5 @@
     )
     task.order = order
     context.add_order(worker, order)
-    # Whoever prolongs the leases there, they cover it as well.
-    worker.held_at = now
     state.started = True
-    placed = model.Placement(task.id.index, worker.worker.id)
-    context.news_of(state).placed.append(placed)
-    context.ask(
-        _actions.StartTask(
-            worker.worker.id,
-            worker.worker.address,
-            task.id,
-            task.attempt,
-            state.job.payload,
-            now - state.arrived,
-        )
-    )
-    if _holding.needs_prolonging(context, worker, now):
-        context.ask(_actions.LookAt(worker.worker.id))
+    _recording.start(context, state, worker, order, now)
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -5,6 +5,7 @@
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _ends
 from rosemaryroad.dispatching import _lives
+from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _state
 
 # A task whose progress has not moved for this share of its expected time
@@ -87,7 +88,7 @@
         worker.unanswered_at = None
     worker.full = False
     for state in context.expecting:
-        if report.asked_at >= state.came_at:
+        if report.asked_at >= state.reports_valid_from:
             state.unseen.pop(worker.worker.id, None)
 
 
@@ -125,6 +126,7 @@
     if order is None:
         order = _take_foreign(context, worker, row, now)
     if order.phase in (
+        _state.OrderPhase.PLANNED,
         _state.OrderPhase.STARTING,
         _state.OrderPhase.IN_DOUBT,
     ):
@@ -151,6 +153,7 @@
     order = _state.Order(row.task, row.attempt, needs, None, now, moved_at=now)
     order.phase = _state.OrderPhase.RUNNING
     order.is_foreign = True
+    _recording.cancel_task_starts(context, row.task, now)
     others = dict(context.orders_by_task.get(row.task, {}))
     context.add_order(worker, order)
     if state is None:
@@ -216,7 +219,11 @@
     now: float,
 ) -> None:
     phase = order.phase
-    if phase in (_state.OrderPhase.STARTING, _state.OrderPhase.STOPPING):
+    if phase in (
+        _state.OrderPhase.PLANNED,
+        _state.OrderPhase.STARTING,
+        _state.OrderPhase.STOPPING,
+    ):
         # The answer is still to come; until then nothing is known.
         return
     may_be_before = report.asked_at <= order.answered_at
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from rosemaryroad import model
+from rosemaryroad.dispatching import _actions
 
 _MOST_LATE_ORDERS = 64
 
@@ -22,6 +23,7 @@
 class OrderPhase(enum.Enum):
     """What is known of an attempt at a worker."""
 
+    PLANNED = 'planned'
     STARTING = 'starting'
     RUNNING = 'running'
     IN_DOUBT = 'in_doubt'
@@ -124,11 +126,18 @@
 
     Attributes:
         done: Tasks that have ended well.
-        placed: Tasks that are about to be told to start.
+        placed: Workers where tasks run or are about to be started.
+        starts: Orders to start that are sent once the homes have recorded
+            the placements.
+        queued: Whether tasks wait for room.
+        updated_at: When ``starts`` or ``queued`` last changed.
     """
 
     done: list[int] = attrs.field(factory=list)
     placed: list[model.Placement] = attrs.field(factory=list)
+    starts: list[_actions.StartTask] = attrs.field(factory=list)
+    queued: bool = False
+    updated_at: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -146,6 +155,9 @@
         unseen: Workers that may run tasks of it for another dispatcher
             and have not told since it came, each with the time until
             which that is possible; no task starts before.
+        reports_valid_from: Reports requested earlier don't show whether a
+            worker runs a task of it: an order may still be in transit.
+        looked_at: When the workers were last asked about it.
         placed_by_worker: The tasks that were placed by another dispatcher,
             by workers that haven't told since it came.
         news: What its homes have not been told yet.
@@ -157,6 +169,9 @@
         lateness: What its answer is worth, if it starts now.
         is_queued: Whether it is among the waiting jobs.
         is_over: Whether it has been settled or taken away.
+        is_queueing_announced: Whether its homes have been told that it
+            waits for room.
+        is_queueing_recorded: Whether all of them have recorded that.
         waiting: How many tasks wait.
         left: How many tasks have not ended well.
     """
@@ -169,6 +184,8 @@
     tasks: list[TaskState]
     started: bool = False
     unseen: dict[str, float] = attrs.field(factory=dict)
+    reports_valid_from: float = 0.0
+    looked_at: float = 0.0
     placed_by_worker: dict[str, list[int]] = attrs.field(factory=dict)
     news: 'JobNews | None' = None
     blamed: set[str] = attrs.field(factory=set)
@@ -179,9 +196,48 @@
     lateness: Lateness = Lateness.IN_TIME
     is_queued: bool = False
     is_over: bool = False
+    is_queueing_announced: bool = False
+    is_queueing_recorded: bool = False
     waiting: int = 0
     left: int = 0
 
+    @property
+    def highest_attempt(self) -> int:
+        """The highest attempt of any of its tasks."""
+        return max(task.attempt for task in self.tasks)
+
+
+@attrs.define(eq=False)
+class PendingRecord:
+    """A message that homes have yet to record, and what waits for that.
+
+    Attributes:
+        state: The job.
+        message: The message to the homes.
+        starts: Orders to start that are sent once all homes have answered.
+        awaited_homes: The entry VMs that have not answered yet.
+        sent_at: When the message was sent.
+    """
+
+    state: JobState
+    message: model.JobProgress
+    starts: list[_actions.StartTask]
+    awaited_homes: set[str]
+    sent_at: float
+
+
+@attrs.frozen
+class Probe:
+    """A message that checks whether a home still answers.
+
+    Attributes:
+        home: The entry VM.
+        sent_at: When it was sent.
+    """
+
+    home: str
+    sent_at: float
+
 
 @attrs.define(eq=False)
 class WorkerState:
--- a/rosemaryroad/jobserver/_cell_dispatching.py
+++ b/rosemaryroad/jobserver/_cell_dispatching.py
@@ -61,7 +61,11 @@
             part.list_workers(tuple(own))
 
     def message(
-        self, vm: str, message: model.JobSubmitted | model.JobWithdrawn
+        self,
+        vm: str,
+        message: model.JobSubmitted
+        | model.JobWithdrawn
+        | model.PlacementsRecorded,
     ) -> None:
         """Takes in what a home tells."""
         if self._cells is None:
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -69,7 +69,9 @@
         if acting:
             claim = self._leadership.role.claim
             self._dispatcher = dispatching.JobDispatcher(
-                self._limits, claim is model.Claim.DEPUTY
+                self._limits,
+                claim is model.Claim.DEPUTY,
+                self._leadership.pace.silent_ms,
             )
             self._count_votes()
             self.list_workers(self._workers)
@@ -98,6 +100,10 @@
         if isinstance(message, model.JobSubmitted):
             if dispatcher is not None:
                 self._carry_out(dispatcher.submit(vm, message, now))
+        elif isinstance(message, model.PlacementsRecorded):
+            if dispatcher is not None:
+                actions = dispatcher.placements_recorded(vm, message, now)
+                self._carry_out(actions)
         elif isinstance(message, model.JobWithdrawn):
             if dispatcher is not None:
                 self._carry_out(dispatcher.withdraw(vm, message.job, now))
--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -20,9 +20,9 @@
 _NO_DISPATCHER_MS = 900.0
 _RETRY_MS = 500.0
 
-# A dispatcher lets go of a job within a round trip, some 2 ms; a VM that is
-# slowed down takes some ten times as long.
-_RELEASE_MS = 150.0
+# A dispatcher that can't be heard may go on with a job until the home's
+# answers have been missing for the silence time, at most 480 ms.
+_RELEASE_MS = 500.0
 
 _Send = collections.abc.Callable[[str, model.JobMessage], bool]
 
@@ -37,6 +37,7 @@
     attempt: int = 0
     done: set[int] = attrs.field(factory=set)
     worker_by_task: dict[int, str] = attrs.field(factory=dict)
+    queued: bool = False
     handed_to: str = ''
     leaves_since: float | None = None
     handed_ever: bool = False
@@ -171,11 +172,22 @@
     def progressed(self, vm: str, message: model.JobProgress) -> None:
         """Takes in what a dispatcher tells of a job."""
         held = self._held_by_id.get(message.job)
-        if held is not None:
-            held.attempt = max(held.attempt, message.attempt)
-            held.done.update(message.done)
-            for item in message.placed:
-                held.worker_by_task[item.index] = item.worker
+        if held is None:
+            if message.number:
+                # Without a job here, nobody waits for the tasks' results.
+                self._send(vm, model.JobWithdrawn(message.job))
+            return
+        held.attempt = max(held.attempt, message.attempt)
+        held.done.update(message.done)
+        if vm != held.handed_to:
+            # A dispatcher that was replaced must not start further tasks.
+            return
+        held.queued = held.queued or message.queued
+        for item in message.placed:
+            held.worker_by_task[item.index] = item.worker
+        if message.number and held.leaves_since is None:
+            recorded = model.PlacementsRecorded(message.job, message.number)
+            self._send(vm, recorded)
 
     def settled(self, vm: str, message: model.JobSettled) -> None:
         """Takes in the end of a job."""
@@ -243,6 +255,7 @@
                 for index, worker in held.worker_by_task.items()
                 if index not in held.done
             ),
+            held.queued,
         )
         # Set first: a dispatcher in this very process answers at once.
         dispatcher = self._dispatcher_of(held)
--- a/rosemaryroad/model/__init__.py
+++ b/rosemaryroad/model/__init__.py
@@ -47,6 +47,7 @@
 from rosemaryroad.model._job_messages import JobSubmitted
 from rosemaryroad.model._job_messages import JobWithdrawn
 from rosemaryroad.model._job_messages import Placement
+from rosemaryroad.model._job_messages import PlacementsRecorded
 from rosemaryroad.model._job_messages import Pulse
 from rosemaryroad.model._job_messages import Pulses
 from rosemaryroad.model._job_messages import QueuesShared
@@ -144,6 +145,7 @@
     'Outcome',
     'PeerMessage',
     'Placement',
+    'PlacementsRecorded',
     'Pulse',
     'Pulses',
     'QuarantineReported',
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -135,6 +135,8 @@
         attempt: The highest attempt that any of its tasks may have had.
         done: Its tasks that have ended well already.
         placed: Where the others may run by another dispatcher's order.
+        queued: Whether another dispatcher may have started tasks that have
+            no recorded placement, at any worker.
     """
 
     job: _jobs.Job
@@ -143,6 +145,7 @@
     attempt: int = 0
     done: tuple[int, ...] = ()
     placed: tuple[Placement, ...] = ()
+    queued: bool = False
 
 
 @attrs.frozen
@@ -177,19 +180,41 @@
     """The dispatcher tells what has happened to a job.
 
     It is sent before an order to start goes out, so that a home never says
-    of a job that it has not run when it may have.
+    of a job that it has not run when it may have, and can name to the next
+    dispatcher each worker that may run a task of it.
 
     Attributes:
         job: The job's id.
         attempt: The highest attempt of any of its tasks.
         done: Tasks that have ended well since it was told last.
         placed: Tasks that are about to be told to start.
+        number: Identifies the answer that the home sends once it has
+            recorded this message; 0 if no answer is needed. Orders to start
+            wait for the answer.
+        queued: Whether other tasks wait for room. Once the home has
+            recorded that, they may be started at any worker without a
+            further answer.
     """
 
     job: str
     attempt: int
     done: tuple[int, ...] = ()
     placed: tuple[Placement, ...] = ()
+    number: int = 0
+    queued: bool = False
+
+
+@attrs.frozen
+class PlacementsRecorded:
+    """A home has recorded what a dispatcher told of a job.
+
+    Attributes:
+        job: The job's id.
+        number: The number of the recorded message.
+    """
+
+    job: str
+    number: int
 
 
 @attrs.frozen
@@ -215,5 +240,6 @@
     | JobWithdrawn
     | JobReleased
     | JobProgress
+    | PlacementsRecorded
     | JobSettled
 )
--- a/rosemaryroad/peers/_codec.py
+++ b/rosemaryroad/peers/_codec.py
@@ -38,6 +38,7 @@
     model.JobReleased: 12,
     model.DirectoryShared: 13,
     model.Pulses: 14,
+    model.PlacementsRecorded: 15,
 }
 _PLAIN = (int, float, str, bool, bytes)
 _TYPE_BY_KIND = {kind: cls for cls, kind in _KIND_BY_TYPE.items()}
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -231,11 +231,19 @@
                 self._told(action.message)
 
     def _told(self, message) -> None:
+        if isinstance(message, model.JobProgress) and message.number:
+            self._at(self.now + 2 * _HOP_MS, self._record, message)
         if isinstance(message, model.JobSettled):
             job = self.jobs[message.job]
             job.ended = self.now
             job.end = message.end
 
+    def _record(self, progress: model.JobProgress) -> None:
+        message = model.PlacementsRecorded(progress.job, progress.number)
+        self._do(
+            self.dispatcher.placements_recorded(case.HOME, message, self.now)
+        )
+
     def _start(self, start: dispatching.StartTask) -> None:
         key = (start.task, start.attempt)
         run_ms = self.jobs[start.task.job].run_ms_by_task[start.task.index]
--- /dev/null
+++ b/tests/dispatching/test_drawn_one_way.py
@@ -0,0 +1,34 @@
+"""Tests that faults soon after a one-way cut never double a task."""
+
+import asyncio
+import unittest
+
+from tests.dispatching import drawn_one_way
+
+_SEEDS = range(1, 21)
+
+# Seeds that once doubled a task.
+_ONCE_BROKEN = (48, 79, 98, 115)
+
+
+class DrawnOneWayTest(unittest.IsolatedAsyncioTestCase):
+    """A one-way cut and two faults soon after it let no task run twice."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+
+    async def _play(self, seed: int) -> None:
+        with self.subTest(seed):
+            faults = drawn_one_way.OneWayFaults(seed)
+            await faults.play()
+            await faults.service.close()
+            self.assertEqual([], faults.service.doubled)
+            self.assertGreater(faults.service.starts, 0)
+
+    async def test_seeds(self) -> None:
+        for seed in _SEEDS:
+            await self._play(seed)
+
+    async def test_seeds_that_have_doubled_a_task(self) -> None:
+        for seed in _ONCE_BROKEN:
+            await self._play(seed)
--- a/tests/jobserver/test_home.py
+++ b/tests/jobserver/test_home.py
@@ -91,6 +91,59 @@
         [(vm, handed)] = self._sent(model.JobSubmitted)
         self.assertEqual(('d2', 1), (vm, handed.attempt))
 
+    def _place(self, vm: str, number: int, worker: str = 'w1') -> None:
+        placed = (model.Placement(0, worker),)
+        message = model.JobProgress('j1', 1, (), placed, number)
+        self.home.progressed(vm, message)
+
+    async def test_a_recorded_placement_is_handed_on(self) -> None:
+        """The next dispatcher doesn't know where a task was started."""
+        await self._submit()
+        self._place('d1', 7)
+        recorded = model.PlacementsRecorded('j1', 7)
+        self.assertEqual(
+            [('d1', recorded)], self._sent(model.PlacementsRecorded)
+        )
+        self._sent(model.JobSubmitted)
+        self.home.peer_lost('d1')
+        self.home.follow(0, 'd2')
+        handed = self._sent(model.JobSubmitted)[-1][1]
+        self.assertEqual((model.Placement(0, 'w1'),), handed.placed)
+
+    async def test_a_recorded_queued_job_is_handed_on_as_queued(self) -> None:
+        """The next dispatcher takes a queued job for not started."""
+        await self._submit()
+        message = model.JobProgress('j1', 0, number=7, queued=True)
+        self.home.progressed('d1', message)
+        self.assertEqual(1, len(self._sent(model.PlacementsRecorded)))
+        self._sent(model.JobSubmitted)
+        self.home.peer_lost('d1')
+        self.home.follow(0, 'd2')
+        handed = self._sent(model.JobSubmitted)[-1][1]
+        self.assertTrue(handed.queued)
+
+    async def test_a_replaced_dispatcher_gets_no_answer(self) -> None:
+        """It starts a task that its successor starts as well."""
+        await self._submit()
+        self.home.follow(0, 'd2')
+        self._place('d1', 7)
+        self.assertEqual([], self._sent(model.PlacementsRecorded))
+        self.home.released('d1', model.JobReleased('j1'))
+        self._place('d2', 3, 'w2')
+        self._place('d1', 8)
+        self.assertEqual(
+            [('d2', model.PlacementsRecorded('j1', 3))],
+            self._sent(model.PlacementsRecorded),
+        )
+
+    async def test_placements_of_an_unknown_job_are_refused(self) -> None:
+        """A dispatcher starts a task for a client that has left."""
+        self._place('d1', 7)
+        self.assertEqual(
+            [('d1', model.JobWithdrawn('j1'))], self._sent(model.JobWithdrawn)
+        )
+        self.assertEqual([], self._sent(model.PlacementsRecorded))
+
     async def test_not_run_is_said_only_of_what_never_started(self) -> None:
         """A dispatcher refuses a job that another one had started."""
         answer = await self._submit()
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -86,6 +86,7 @@
     | strategies.builds(model.JobSubmitted, job=_JOBS, age_ms=_MS, left_ms=_MS)
     | strategies.builds(model.JobWithdrawn)
     | strategies.builds(model.JobReleased)
+    | strategies.builds(model.PlacementsRecorded)
     | strategies.builds(
         model.DirectoryShared,
         strategies.lists(_WORKERS, max_size=2).map(tuple),
