Don't take attempts that began after losing most VMs for lapsed

Callers would see a task done twice.

Cause: a dispatcher that most VMs don't follow infers nothing from the silence of a worker that has answered it since they left. If the worker hadn't answered since then, all attempts there were taken for lapsed, because the other dispatcher finds what runs there when it takes the worker up, and stops it. But the first dispatcher had started a task there after they left. The order was delivered and its answer was lost. The other dispatcher found the task later and prolonged its lease.

Such a dispatcher now takes for lapsed only the attempts that must have begun at least 100 ms before most VMs left it. The time of the beginning is the one that the answer or a report gives or, without these, the end of the order's validity. An attempt whose order hasn't been sent yet counts as lapsed in any case.

--- a/rosemaryroad/dispatching/_answers.py
+++ b/rosemaryroad/dispatching/_answers.py
@@ -61,7 +61,8 @@
         worker.full = True
     elif result is model.OrderResult.WRONG_LIFE:
         worker.listed = False
-        context.drop_orders(worker, 'another life answers', now)
+        orders = list(worker.orders_by_key.values())
+        context.drop_orders(worker, orders, 'another life answers', now)
     else:
         # Until it has told what it runs, another try would only be
         # refused again.
--- a/rosemaryroad/dispatching/_checks.py
+++ b/rosemaryroad/dispatching/_checks.py
@@ -17,8 +17,10 @@
     context: _context.Context, worker: _state.WorkerState, now: float
 ) -> None:
     """Does what is due at a worker by the time alone."""
-    if _holding.has_lapsed(context, worker, now):
-        context.drop_orders(worker, 'silent until the leases lapsed', now)
+    lapsed_orders = _holding.lapsed_orders(context, worker, now)
+    if lapsed_orders:
+        cause = 'silent until the leases lapsed'
+        context.drop_orders(worker, lapsed_orders, cause, now)
         return
     if not context.is_outvoted:
         _handover.stop_unclaimed(context, worker, now)
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -240,10 +240,13 @@
             self.job_waits(state, now)
 
     def drop_orders(
-        self, worker: _state.WorkerState, cause: str, now: float
+        self,
+        worker: _state.WorkerState,
+        orders: list[_state.Order],
+        cause: str,
+        now: float,
     ) -> None:
-        """Gives up all attempts at a worker where nothing runs any more."""
-        orders = list(worker.orders_by_key.values())
+        """Gives up attempts that no longer run at a worker."""
         if orders:
             self.note(
                 'attempts_lost',
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -265,7 +265,10 @@
         worker = self._context.workers_by_id.get(worker_id)
         if worker is not None:
             worker.listed = False
-            self._context.drop_orders(worker, 'this life has ended', now)
+            orders = list(worker.orders_by_key.values())
+            self._context.drop_orders(
+                worker, orders, 'this life has ended', now
+            )
             self._drop_unlisted()
             _queue.fill(self._context, now)
         return self._context.take_actions()
--- a/rosemaryroad/dispatching/_holding.py
+++ b/rosemaryroad/dispatching/_holding.py
@@ -34,6 +34,10 @@
 # one is asked a third as often.
 _MIN_LEASE_SHARE = 0.6
 
+# The longest time between the moments at which two VMs detect that they have
+# lost contact with each other.
+_DETECTION_SKEW_MS = 100.0
+
 
 def may_prolong(
     context: _context.Context, worker: _state.WorkerState, now: float
@@ -160,13 +164,36 @@
     context.outvoted_since = None
 
 
-def has_lapsed(
+def lapsed_orders(
     context: _context.Context, worker: _state.WorkerState, now: float
-) -> bool:
-    """Tells whether nothing runs any more at a worker that is silent."""
+) -> list[_state.Order]:
+    """Returns the attempts that no longer run at a silent worker."""
     if worker.silent_since is None:
-        return False
+        return []
     if now - worker.held_at <= context.limits.lapse_ms:
-        return False
+        return []
+    orders = list(worker.orders_by_key.values())
     since = context.outvoted_since
-    return since is None or worker.heard_at < since
+    if since is None:
+        return orders
+    if worker.heard_at >= since:
+        return []
+    # Another dispatcher that takes the worker up stops the attempts that it
+    # finds there, but may prolong the leases of attempts that begin later.
+    cutoff = since - _DETECTION_SKEW_MS
+    return [
+        order
+        for order in orders
+        if _latest_begin_time(context, order) <= cutoff
+    ]
+
+
+def _latest_begin_time(
+    context: _context.Context, order: _state.Order
+) -> float:
+    """Returns the latest time at which an attempt can have begun."""
+    if order.phase is _state.OrderPhase.PLANNED:
+        return -math.inf
+    if order.begun_at is not None:
+        return order.begun_at
+    return order.at + context.limits.order_validity_ms
--- a/tests/dispatching/test_drawn_one_way.py
+++ b/tests/dispatching/test_drawn_one_way.py
@@ -8,7 +8,7 @@
 _SEEDS = range(1, 21)
 
 # Seeds that once doubled a task.
-_ONCE_BROKEN = (48, 79, 98, 115)
+_ONCE_BROKEN = (48, 79, 98, 115, 406)
 
 
 class DrawnOneWayTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -151,6 +151,18 @@
         self._go_silent(900)
         self.assertEqual(1, len(self.starts()))
 
+    def test_without_most_attempts_begun_since_do_not_lapse(self) -> None:
+        """Tasks run twice if another dispatcher prolongs their leases."""
+        self.add_workers('w1', 'w2')
+        self.now += 10
+        self._lose_majority()
+        self.pass_time(LAPSE_MS)
+        self.submit(case.make_job('ours', estimate_ms=5_000.0), 60_000.0)
+        [start] = self.starts()
+        self.take(self.dispatcher.silent(start.worker, 'cut off', self.now))
+        self.pass_time(3_000)
+        self.assertEqual([], self.starts())
+
     def test_orders_to_start_expire_sooner_than_a_lease(self) -> None:
         """A late start would run on under another dispatcher's leases."""
         self.add_workers('w1')
