Begin handshakes with a few peers at a time

In a group that starts together each VM dialed all others at once.

Now a VM connects to all peers at once, which costs little and lets those that can't be reached time out by themselves, but begins no more than 8 handshakes at a time. The listening end waits for 5 s for a handshake to begin, since the other may have others to do first, and its queue of new connections is as long as that of callers: at 300 VMs more than the default of 100 may dial at once.

Ruled out: a limit on connections as a whole.

--- a/rosemaryroad/peers/_handler.py
+++ b/rosemaryroad/peers/_handler.py
@@ -21,7 +21,13 @@
         ping_interval_ms: How often each end asks the other for a sign.
         ping_timeout_ms: How long it waits for one.
         close_timeout_ms: How long a closing link may take.
-        open_timeout_ms: How long a new link may take to be of use.
+        open_timeout_ms: How long a connection may take to stand, and the
+            handshake on it to be over.
+        accept_timeout_ms: How long a peer may take to begin the handshake;
+            it may have others to do first.
+        handshakes: How many handshakes this VM begins at a time. All at
+            once would each wait for all others, time out, and be begun
+            anew, so that the links of a large group never stand.
         grace_ms: How long the VM with the larger id waits for the other
             one to dial.
         backoff_ms: The first wait after a failed dial; it doubles.
@@ -32,6 +38,8 @@
     ping_timeout_ms: float = attrs.field(default=2500.0, validator=_v.gt(0))
     close_timeout_ms: float = attrs.field(default=500.0, validator=_v.gt(0))
     open_timeout_ms: float = attrs.field(default=2000.0, validator=_v.gt(0))
+    accept_timeout_ms: float = attrs.field(default=5000.0, validator=_v.gt(0))
+    handshakes: int = attrs.field(default=8, validator=_v.ge(1))
     grace_ms: float = attrs.field(default=1000.0, validator=_v.ge(0))
     backoff_ms: float = attrs.field(default=100.0, validator=_v.gt(0))
     max_backoff_ms: float = attrs.field(default=3000.0, validator=_v.gt(0))
--- a/rosemaryroad/peers/_handshake.py
+++ b/rosemaryroad/peers/_handshake.py
@@ -66,6 +66,28 @@
         return connection.respond(http.HTTPStatus.UNAUTHORIZED, '')
 
 
+async def connect(
+    address: model.Address, limits: _handler.LinkLimits
+) -> socket.socket:
+    """Connects to a peer.
+
+    Raises:
+        OSError: It refused.
+        TimeoutError: It gave no answer.
+    """
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    connected = socket.socket(family, socket.SOCK_STREAM)
+    connected.setblocking(False)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(limits.open_timeout_ms / _MS_PER_SECOND):
+            await loop.sock_connect(connected, (address.host, address.port))
+    except BaseException:
+        connected.close()
+        raise
+    return connected
+
+
 async def send(
     connection: ws_connection.Connection, hello: model.Hello
 ) -> None:
--- a/rosemaryroad/peers/_links.py
+++ b/rosemaryroad/peers/_links.py
@@ -12,6 +12,7 @@
 import contextlib
 import logging
 import random
+import socket
 
 import websockets
 from websockets.asyncio import client
@@ -32,6 +33,10 @@
 _MS_PER_SECOND = 1000.0
 _POLICY_VIOLATION = 1008
 
+# All other VMs of a large group may dial at once; a connection beyond this
+# would be tried again after seconds.
+_BACKLOG = 1024
+
 # The library logs each failed handshake and ping with a traceback; the
 # events are told by this module's own lines.
 _QUIET = logging.getLogger(f'{__name__}.websockets')
@@ -68,6 +73,7 @@
         self._address_by_vm: dict[str, model.Address] = {}
         self._dialer_by_vm: dict[str, asyncio.Task] = {}
         self._hurry_by_vm: dict[str, asyncio.Event] = {}
+        self._handshakes = asyncio.Semaphore(self._limits.handshakes)
         self._encoded: model.PeerMessage | None = None
         self._encoded_data = b''
 
@@ -89,8 +95,9 @@
             host,
             port,
             process_request=self._secret.check,
-            open_timeout=self._limits.open_timeout_ms / _MS_PER_SECOND,
+            open_timeout=self._limits.accept_timeout_ms / _MS_PER_SECOND,
             server_header=None,
+            backlog=_BACKLOG,
             **self._connection_options(),
         )
         return next(iter(self._server.sockets)).getsockname()[1]
@@ -301,22 +308,38 @@
         address = self._address_by_vm.get(vm)
         if address is None:
             return
-        async with client.connect(
-            f'ws://{address}/',
-            additional_headers=self._secret.headers(),
-            open_timeout=self._limits.open_timeout_ms / _MS_PER_SECOND,
-            proxy=None,
-            user_agent_header=None,
-            **self._connection_options(),
-        ) as connection:
-            _handshake.set_user_timeout(connection, self._limits)
-            await _handshake.send(connection, self._hello)
-            hello = await _handshake.receive(connection, self._limits)
-            link = self._open(connection, hello)
+        # Peers that can't be reached hold up no handshake with others.
+        connected = await _handshake.connect(address, self._limits)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(connected.close)
+            async with self._handshakes:
+                link = await self._greet(stack, connected, address)
             if link.vm != vm:
                 raise _handshake.HelloRefused(f'{address} is {link.vm}')
             await self._table.run(link)
 
+    async def _greet(
+        self,
+        stack: contextlib.AsyncExitStack,
+        connected: socket.socket,
+        address: model.Address,
+    ) -> _link.Link:
+        connection = await stack.enter_async_context(
+            client.connect(
+                f'ws://{address}/',
+                sock=connected,
+                additional_headers=self._secret.headers(),
+                open_timeout=self._limits.open_timeout_ms / _MS_PER_SECOND,
+                proxy=None,
+                user_agent_header=None,
+                **self._connection_options(),
+            )
+        )
+        _handshake.set_user_timeout(connection, self._limits)
+        await _handshake.send(connection, self._hello)
+        hello = await _handshake.receive(connection, self._limits)
+        return self._open(connection, hello)
+
     def _open(
         self,
         connection: ws_connection.Connection,
