--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -29,10 +29,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-# A link that carries nothing is found out by the signs of life; the
-# library's own pings only back them up.
+# A link that carries nothing is found out by the signs of life; the library's
+# own pings only back them up. At a short interval those of a large group cost
+# as much as the signs.
 _LINK_LIMITS = peers.LinkLimits(
-    ping_interval_ms=5_000.0,
+    ping_interval_ms=30_000.0,
     ping_timeout_ms=5_000.0,
     close_timeout_ms=100.0,
     open_timeout_ms=400.0,
