--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -297,7 +297,7 @@
         late_ms = max(0.0, now - self._ticked_at - TICK_MS)
         self._strain.looked(late_ms, now)
         # What is read right after a pause may have waited since before it.
-        self._signs.read_after(self._ticked_at)
+        self._signs.reading_since(self._ticked_at)
         self._ticked_at = now
         self._note_followers(now)
         if self._should_step_aside(now):
@@ -359,8 +359,8 @@
         if not others:
             self._followed_at = now
             return
-        read_after = self._signs.nth_read_after(followers, others)
-        self._followed_at = max(self._followed_at, read_after)
+        known_at = self._signs.known_at(followers, others)
+        self._followed_at = max(self._followed_at, known_at)
 
     def _is_out(self, now: float) -> bool:
         if now < self._aside_until:
--- a/rosemaryroad/dispatching/_signs.py
+++ b/rosemaryroad/dispatching/_signs.py
@@ -15,12 +15,19 @@
 
 @attrs.define(eq=False)
 class _Peer:
-    """One other entry VM that a link stands to."""
+    """One other entry VM that a link stands to.
+
+    Attributes:
+        heard_at: When its last message was read.
+        pulse: Its last sign of life.
+        pulse_at: When that was read.
+        waited_since: Since when its last message may have waited to be read.
+    """
 
     heard_at: float
     pulse: model.Pulse | None = None
     pulse_at: float = 0.0
-    read_after: float = -math.inf
+    waited_since: float = -math.inf
 
 
 class Signs:
@@ -32,18 +39,21 @@
 
     def __init__(self, limit_ms: _Limit) -> None:
         self._limit_ms = limit_ms
-        self._read_after = -math.inf
+        self._reading_since = -math.inf
         self._claiming_vms: set[str] = set()
         self._none_silent_until = -math.inf
         self._peer_by_vm: dict[str, _Peer] = {}
 
-    def read_after(self, at: float) -> None:
-        """Takes in that messages from now on were not read before a time.
+    def reading_since(self, at: float) -> None:
+        """Takes in that what is read from now on may have waited for long.
+
+        After a pause of this VM its clock alone would make old messages look
+        new.
 
-        A VM that was stopped reads what has waited for it; its clock alone
-        would make these messages look new.
+        Args:
+            at: Since when they may have waited.
         """
-        self._read_after = at
+        self._reading_since = at
 
     def joined(self, vm: str, now: float) -> None:
         """Takes in that a link to a peer stands."""
@@ -63,7 +73,7 @@
     def heard(self, vm: str, pulse: model.Pulse, now: float) -> None:
         """Takes in a sign of life."""
         known = self.pulse_of(vm)
-        self._peer_by_vm[vm] = _Peer(now, pulse, now, self._read_after)
+        self._peer_by_vm[vm] = _Peer(now, pulse, now, self._reading_since)
         if known is not None and known.claim is pulse.claim:
             return
         self.limits_changed()
@@ -81,7 +91,7 @@
         peer = self._peer_by_vm.get(vm)
         if peer is not None:
             peer.heard_at = now
-            peer.read_after = self._read_after
+            peer.waited_since = self._reading_since
 
     def pulse_of(self, vm: str) -> model.Pulse | None:
         """Returns what a peer has told last, if anything."""
@@ -93,12 +103,19 @@
         for peer in self._peer_by_vm.values():
             peer.heard_at = max(peer.heard_at, at)
 
-    def nth_read_after(
+    def known_at(
         self, vms: collections.abc.Collection[str], count: int
     ) -> float:
-        """Returns a time after which messages of so many VMs were read."""
+        """Returns the latest time for which the word of some VMs holds.
+
+        Their last messages may have waited since then.
+
+        Args:
+            vms: The VMs.
+            count: How many of them have to have told.
+        """
         times = sorted(
-            (self._peer_by_vm[vm].read_after for vm in vms), reverse=True
+            (self._peer_by_vm[vm].waited_since for vm in vms), reverse=True
         )
         return times[count - 1]
 
