Read how scarce or uneven room is shared out from the settings

A section scheduling, checked as all settings are; each default leaves a decision as it was. The dispatcher's parts that will read it stand as empty modules, called where they have to decide or to count.

--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -20,10 +20,22 @@
 from rosemaryroad.dispatching._load import WorkerCondition
 from rosemaryroad.dispatching._roles import LeaseRow
 from rosemaryroad.dispatching._roles import Role
+from rosemaryroad.dispatching._scheduling import AdmissionPolicy
+from rosemaryroad.dispatching._scheduling import CellPolicy
+from rosemaryroad.dispatching._scheduling import PacePolicy
+from rosemaryroad.dispatching._scheduling import PlacementPolicy
+from rosemaryroad.dispatching._scheduling import PlacementRule
+from rosemaryroad.dispatching._scheduling import PriorityOrder
+from rosemaryroad.dispatching._scheduling import PriorityPolicy
+from rosemaryroad.dispatching._scheduling import SchedulingPolicy
+from rosemaryroad.dispatching._scheduling import SharingKey
+from rosemaryroad.dispatching._scheduling import SharingPolicy
 
 __all__ = [
-    'CLAIM_TIMEOUT_MS',
     'Action',
+    'AdmissionPolicy',
+    'CLAIM_TIMEOUT_MS',
+    'CellPolicy',
     'Cells',
     'DispatchLimits',
     'DispatcherLoad',
@@ -35,7 +47,15 @@
     'LeaseRow',
     'LookAt',
     'Noted',
+    'PacePolicy',
+    'PlacementPolicy',
+    'PlacementRule',
+    'PriorityOrder',
+    'PriorityPolicy',
     'Role',
+    'SchedulingPolicy',
+    'SharingKey',
+    'SharingPolicy',
     'StartTask',
     'StopTask',
     'TICK_MS',
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -7,7 +7,10 @@
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _forecast
 from rosemaryroad.dispatching import _run_times
+from rosemaryroad.dispatching import _scheduling
+from rosemaryroad.dispatching import _sharing
 from rosemaryroad.dispatching import _state
 from rosemaryroad.dispatching import _waiting
 
@@ -36,10 +39,12 @@
         lease_ms: The longest lease that a worker gives.
         remote_factor: How many times as long a task takes away from the
             rack where its data is.
+        scheduling: How scarce or uneven room is shared out.
     """
 
     lease_ms: float = 1_000.0
     remote_factor: float = 3.0
+    scheduling: _scheduling.SchedulingPolicy = _scheduling.SchedulingPolicy()
 
     @property
     def order_validity_ms(self) -> float:
@@ -84,6 +89,8 @@
         silence_ms: How long a home hears nothing from this dispatcher
             before it may hand its jobs to another one.
         run_times: What tasks take.
+        forecast: When room comes free.
+        shares: Who has had more than a fair share of the room.
         waiting: The jobs with waiting tasks, in order.
         jobs_by_id: All jobs that are not settled.
         workers_by_id: All workers that matter still.
@@ -111,6 +118,8 @@
         self.led_since = -math.inf
         self.silence_ms = silence_ms
         self.run_times = _run_times.RunTimes()
+        self.forecast = _forecast.Forecast()
+        self.shares = _sharing.Shares()
         self.waiting = _waiting.WaitingJobs(self.run_times)
         self.jobs_by_id: dict[str, _state.JobState] = {}
         self.workers_by_id: dict[str, _state.WorkerState] = {}
@@ -158,6 +167,21 @@
         """Asks for a log line about a change of belief."""
         self.ask(_actions.Noted(event, subject, detail))
 
+    # Work.
+
+    def job_arrived(self, state: _state.JobState, now: float) -> None:
+        """Takes in the work of a job that has just come."""
+        self.forecast.job_arrived(state, now)
+        self.shares.job_arrived(state, now)
+
+    def task_placed(self, state: _state.JobState, now: float) -> None:
+        """Takes in that room is taken for a task of a job."""
+        self.shares.task_placed(state, state.expected_ms, now)
+
+    def room_freed(self, order: _state.Order, now: float) -> None:
+        """Takes in that an attempt has ended and left its room."""
+        self.forecast.room_freed(order.needs.cores, now)
+
     # Changes.
 
     def take_changes(self) -> Changes:
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -5,6 +5,7 @@
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _admission
 from rosemaryroad.dispatching import _answers
 from rosemaryroad.dispatching import _checks
 from rosemaryroad.dispatching import _context
@@ -13,6 +14,7 @@
 from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _lives
 from rosemaryroad.dispatching import _load
+from rosemaryroad.dispatching import _preemption
 from rosemaryroad.dispatching import _queue
 from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _reports
@@ -141,6 +143,7 @@
         state = _handover.make_state(home, message, now)
         context.jobs_by_id[message.job.id] = state
         context.job_waits(state, now)
+        context.job_arrived(state, now)
         if state.left == 0:
             context.settle(state, model.JobEnd.COMPLETED, 'done before', now)
             return context.take_actions()
@@ -148,6 +151,7 @@
         if not state.started:
             _queue.refuse_unless_it_fits(context, state, now)
         _queue.fill_changed(context, now)
+        _admission.review_arrival(context, state, now)
         _recording.announce_queued(context, state, now)
         return context.take_actions()
 
@@ -357,7 +361,9 @@
         _recording.resend_unanswered(context, now)
         _recording.probe_homes(context, now)
         _queue.refuse_hopeless(context, now)
+        _admission.review_waiting(context, now)
         self._drop_unlisted()
+        _preemption.preempt(context, now)
         _queue.fill(context, now)
         return context.take_actions()
 
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -252,4 +252,5 @@
     task.order = order
     context.add_order(worker, order)
     state.started = True
+    context.task_placed(state, now)
     _recording.start(context, state, worker, order, now)
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -329,7 +329,11 @@
         return _dispatching.Dispatching(
             leadership,
             self._adapter.workers,
-            dispatching.DispatchLimits(times.lease_ms, times.remote_factor),
+            dispatching.DispatchLimits(
+                times.lease_ms,
+                times.remote_factor,
+                self._settings.scheduling,
+            ),
             self._clock,
             self._send,
             self.metrics,
--- a/rosemaryroad/jobserver/_settings.py
+++ b/rosemaryroad/jobserver/_settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from rosemaryroad import _settings_parts
+from rosemaryroad import dispatching
 from rosemaryroad import errors
 from rosemaryroad import structure
 from rosemaryroad import yamlfile
@@ -89,6 +90,7 @@
             more done dispatch first.
         deployment: A name that links of other deployments don't know.
         log: What it logs.
+        scheduling: How its dispatchers share out scarce or uneven room.
     """
 
     vm: str = attrs.field(validator=_not_empty)
@@ -101,6 +103,7 @@
     speed: float = 1.0
     deployment: str = 'rosemaryroad'
     log: _settings_parts.Log = _settings_parts.Log()
+    scheduling: dispatching.SchedulingPolicy = dispatching.SchedulingPolicy()
 
 
 def load(path: pathlib.Path) -> JobSettings:
