--- a/rosemaryroad/emulation/_settings.py
+++ b/rosemaryroad/emulation/_settings.py
@@ -60,11 +60,17 @@
         mean: Its mean.
         sigma: The standard deviation of its logarithm.
         most: What it doesn't exceed.
+        tail: The share of outliers.
+        tail_factor: How many times as large as usual these are.
     """
 
     mean: float = attrs.field(validator=_v.gt(0))
     sigma: float = 0.0
     most: float = float(2**31)
+    tail: float = attrs.field(
+        default=0.0, validator=_v.and_(_v.ge(0.0), _v.le(1.0))
+    )
+    tail_factor: float = attrs.field(default=1.0, validator=_v.gt(0))
 
 
 @attrs.frozen
--- a/rosemaryroad/emulation/_workload.py
+++ b/rosemaryroad/emulation/_workload.py
@@ -206,7 +206,12 @@
 
 
 def _draw_spread(spread: _settings.Spread, rng: random.Random) -> float:
-    return min(spread.most, _vary(spread.mean, spread.sigma, rng))
+    value = _vary(spread.mean, spread.sigma, rng)
+    # Without outliers no number is drawn, so that a seed of an experiment
+    # without them plays as it always has.
+    if spread.tail and rng.random() < spread.tail:
+        value *= spread.tail_factor
+    return min(spread.most, value)
 
 
 def _vary(mean: float, sigma: float, rng: random.Random) -> float:
