Give cells jobs in proportion to their workers' cores

Cause: workers are divided by a hash of their ids, jobs evenly. Three cells of one deployment had 73, 69 and 54 workers, those of another 60, 64 and 52, so a burst fills one while others have room.

Change: with scheduling.cells.by_room the first division also says which part of the jobs each cell gets, by its workers' cores. Workers stay where their hash puts them; the row and the signs of life tell the shares. Without it rows and divisions are as before.

--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -9,6 +9,7 @@
 from rosemaryroad.dispatching._cells import Cells
 from rosemaryroad.dispatching._cells import cells_for
 from rosemaryroad.dispatching._cells import FirstDivision
+from rosemaryroad.dispatching._cells import share_by_room
 from rosemaryroad.dispatching._context import DispatchLimits
 from rosemaryroad.dispatching._dispatcher import JobDispatcher
 from rosemaryroad.dispatching._drains import DrainBook
@@ -62,4 +63,5 @@
     'TellHome',
     'WorkerCondition',
     'cells_for',
+    'share_by_room',
 ]
--- a/rosemaryroad/dispatching/_cells.py
+++ b/rosemaryroad/dispatching/_cells.py
@@ -1,10 +1,16 @@
 """How workers and jobs are divided among several dispatchers."""
 
+import bisect
+import collections.abc
+import itertools
 import math
 import zlib
 
 import attrs
 
+from rosemaryroad import model
+from rosemaryroad import structure
+
 # One dispatcher's processor carries the starts of some three times as many
 # workers. Fewer, larger cells leave less room unused.
 _WORKERS_IN_A_CELL = 60
@@ -15,6 +21,11 @@
 _SETTLED_MS = 2_000.0
 _LONGEST_MS = 8_000.0
 
+_HASHES = 2**32
+
+# Shares are sums of floating-point parts.
+_SUM_TOLERANCE = 1e-6
+
 
 @attrs.frozen
 class Cells:
@@ -26,20 +37,41 @@
 
     Attributes:
         count: How many dispatchers there are.
+        shares: The part of all jobs that each gets, or () for equal parts.
+
+    Raises:
+        ValueError: The shares don't fit the count, or each other.
     """
 
     count: int = attrs.field(default=1, validator=attrs.validators.ge(1))
+    shares: tuple[float, ...] = attrs.field(
+        default=(), metadata=structure.OMIT_DEFAULT
+    )
+
+    def __attrs_post_init__(self) -> None:
+        if not self.shares:
+            return
+        if len(self.shares) != self.count:
+            raise ValueError(f'{len(self.shares)} shares of {self.count}')
+        if min(self.shares) <= 0:
+            raise ValueError('a share that is not positive')
+        if abs(sum(self.shares) - 1.0) > _SUM_TOLERANCE:
+            raise ValueError(f'shares that add up to {sum(self.shares):g}')
 
     def of_job(self, job_id: str) -> int:
         """Returns the cell that a job belongs to."""
-        return self._hash(job_id)
+        if not self.shares:
+            return _hash(job_id) % self.count
+        bounds = list(itertools.accumulate(self.shares[:-1]))
+        return bisect.bisect_right(bounds, _hash(job_id) / _HASHES)
 
     def of_worker(self, worker_id: str) -> int:
         """Returns the cell that a worker belongs to."""
-        return self._hash(worker_id)
+        return _hash(worker_id) % self.count
+
 
-    def _hash(self, key: str) -> int:
-        return zlib.crc32(key.encode()) % self.count
+def _hash(key: str) -> int:
+    return zlib.crc32(key.encode())
 
 
 def cells_for(workers: int) -> Cells:
@@ -47,6 +79,28 @@
     return Cells(max(1, math.ceil(workers / _WORKERS_IN_A_CELL)))
 
 
+def share_by_room(
+    cells: Cells, workers: collections.abc.Iterable[model.Worker]
+) -> Cells:
+    """Returns a division in which cells get jobs by their workers' cores.
+
+    A hash gives cells of some sixty workers up to a quarter more or less
+    room; with equal parts of the jobs a burst overloads the smallest one
+    while others have room.
+
+    Args:
+        cells: The division, with equal parts.
+        workers: All workers.
+    """
+    cores = [0.0] * cells.count
+    for worker in workers:
+        cores[cells.of_worker(worker.id)] += worker.capacity.cores
+    if min(cores) <= 0:
+        return cells
+    whole = sum(cores)
+    return attrs.evolve(cells, shares=tuple(item / whole for item in cores))
+
+
 class FirstDivision:
     """Decides when the workers that are listed tell the division.
 
--- a/rosemaryroad/emulation/_service.py
+++ b/rosemaryroad/emulation/_service.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from rosemaryroad import dispatching
 from rosemaryroad import jobserver
 from rosemaryroad import model
 from rosemaryroad import structure
@@ -73,6 +74,9 @@
         self.checks = _checks.RuleChecks(self._domain_by_name.get)
         self.worker_by_id: dict[str, _workers.EmulatedWorker] = {}
         self.vms = self._make_vms(way)
+        self._divides_by_room = any(
+            vm.settings.scheduling.cells.by_room for vm in self.vms
+        )
         balancer = _clients.Balancer(self.vms, self.network)
         self.clients = _clients.Clients(experiment, balancer)
         self._balancer = balancer
@@ -82,10 +86,10 @@
         loop = asyncio.get_running_loop()
         loop.set_task_factory(_lives.make_task)
         self.operators.put_queues(_workload.queue_table(self.experiment))
-        division = json.dumps({'count': self.experiment.cells})
-        self.store.put(_DIVISION_TABLE, _DIVISION_KEY, division)
         for worker, pace in _workload.make_workers(self.experiment):
             self.add_worker(worker, pace)
+        division = json.dumps(structure.unstructure(self._divide()))
+        self.store.put(_DIVISION_TABLE, _DIVISION_KEY, division)
         for vm in self.vms:
             vm.power_on()
         probing = loop.create_task(self._balancer.run())
@@ -137,6 +141,13 @@
         name = f'{like.id}-{next(self._numbers)}'
         self.add_worker(attrs.evolve(like, id=name, leaving=False), pace)
 
+    def _divide(self) -> dispatching.Cells:
+        cells = dispatching.Cells(self.experiment.cells)
+        if not self._divides_by_room:
+            return cells
+        workers = [worker.entry for worker in self.worker_by_id.values()]
+        return dispatching.share_by_room(cells, workers)
+
     def _work_of(self, task: model.TaskId) -> _workers.TaskWork:
         return self._work_by_job[task.job][task.index]
 
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -76,6 +76,8 @@
         queue_table: Returns the queues in force, if there are any.
         workers: Returns the workers, or None before they are known.
         drains: Returns what is known of the drained failure domains.
+        divides_by_room: Whether cells get jobs by their workers' cores, if
+            this VM makes the first division.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         queue_table: collections.abc.Callable[[], model.QueueTable | None],
         workers: collections.abc.Callable[[], tuple[model.Worker, ...] | None],
         drains: collections.abc.Callable[[], model.DomainDrains],
+        divides_by_room: bool = False,
     ) -> None:
         self._row = vm
         self._make_leadership = make_leadership
@@ -101,6 +104,7 @@
         self._queue_table = queue_table
         self._workers = workers
         self._drains = drains
+        self._divides_by_room = divides_by_room
         self._vms: tuple[model.EntryVm, ...] = ()
         self._cells: dispatching.Cells | None = None
         self._elections = [self._make_election(0)]
@@ -293,6 +297,7 @@
             version,
             0 if self._cells is None else self._cells.count,
             self._drains(),
+            () if self._cells is None else self._cells.shares,
         )
         if pulses != self._last_pulses:
             # What hasn't changed is encoded once, however often it is sent.
@@ -302,7 +307,7 @@
     def _take_pulses(self, vm: str, message: model.Pulses) -> None:
         if self._cells is None and message.cells > 0:
             # The peer has read the row; this VM may be parted from it.
-            self._take_cells(dispatching.Cells(message.cells), 'peer')
+            self._take_cells(_heard_cells(vm, message), 'peer')
         if message.drains.version > self._drains().version:
             # Before the signs, by which orders may be allowed again.
             self._handler.drains_shared(message.drains)
@@ -325,6 +330,8 @@
         if cells is None or now < self._propose_at:
             return
         self._propose_at = now + _rows.WRITE_AGAIN_MS
+        if self._divides_by_room:
+            cells = dispatching.share_by_room(cells, workers)
         self._background.spawn(self._write_cells(cells))
 
     async def _write_cells(self, cells: dispatching.Cells) -> None:
@@ -342,6 +349,7 @@
             logging.INFO,
             'cells_known',
             count=cells.count,
+            shares=cells.shares,
             source=source,
         )
         for cell in range(1, cells.count):
@@ -417,3 +425,14 @@
         theirs = message.table_version
         if self._queues_sharing.is_due(vm, theirs, own, self._clock.now()):
             self._links.tell(vm, model.QueuesShared(table))
+
+
+def _heard_cells(vm: str, message: model.Pulses) -> dispatching.Cells | None:
+    """Returns the division that a peer tells, or None for one of no sense."""
+    try:
+        return dispatching.Cells(message.cells, message.cell_shares)
+    except ValueError as error:
+        logs.event(
+            _LOG, logging.WARNING, 'entry_skipped', entry=vm, cause=error
+        )
+        return None
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -126,6 +126,7 @@
             lambda: self.queues.table,
             lambda: self._dispatching.workers,
             lambda: self._drains.drains,
+            settings.scheduling.cells.by_room,
         )
         handler.connect(self._members)
         self._workers_follower = self._follower(
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -78,12 +78,15 @@
         table_version: The version of the queues that it has in force.
         cells: How many cells there are, or 0.
         drains: The failure domains that it knows to be drained.
+        cell_shares: The part of all jobs that each cell gets, or () for
+            equal parts.
     """
 
     by_cell: tuple[Pulse, ...]
     table_version: int = 0
     cells: int = 0
     drains: DomainDrains = DomainDrains()
+    cell_shares: tuple[float, ...] = ()
 
 
 @attrs.frozen
--- a/tests/dispatching/test_cells.py
+++ b/tests/dispatching/test_cells.py
@@ -1,9 +1,13 @@
 """Tests of how workers and jobs are divided among dispatchers."""
 
 import collections
+import json
 import unittest
 
 from rosemaryroad import dispatching
+from rosemaryroad import errors
+from rosemaryroad import structure
+from tests.dispatching import case
 
 
 class CellsTest(unittest.TestCase):
@@ -40,6 +44,67 @@
             dispatching.Cells(0)
 
 
+class RoomSharesTest(unittest.TestCase):
+    """Cells get jobs in proportion to the cores of their workers."""
+
+    def setUp(self) -> None:
+        self.workers = [
+            case.make_worker(f'w{number}', cores=32.0) for number in range(176)
+        ]
+        even = dispatching.Cells(3)
+        self.cells = dispatching.share_by_room(even, self.workers)
+
+    def test_jobs_follow_the_room(self) -> None:
+        """With equal parts, the smallest cell is full while others idle."""
+        cores = collections.Counter()
+        for worker in self.workers:
+            cores[self.cells.of_worker(worker.id)] += worker.capacity.cores
+        jobs = collections.Counter(
+            self.cells.of_job(f'{number:016x}') for number in range(30_000)
+        )
+        whole = sum(cores.values())
+        for cell in range(3):
+            with self.subTest(cell):
+                self.assertAlmostEqual(
+                    cores[cell] / whole, jobs[cell] / 30_000, delta=0.01
+                )
+
+    def test_workers_stay_where_they_are(self) -> None:
+        even = dispatching.Cells(3)
+        for worker in self.workers:
+            self.assertEqual(
+                even.of_worker(worker.id), self.cells.of_worker(worker.id)
+            )
+
+    def test_a_row_gives_all_vms_the_same_division(self) -> None:
+        """A job sent again at another VM must meet the same dispatcher."""
+        text = json.dumps(structure.unstructure(self.cells))
+        found = structure.structure(json.loads(text), dispatching.Cells)
+        for number in range(1_000):
+            job = f'{number:016x}'
+            self.assertEqual(self.cells.of_job(job), found.of_job(job))
+
+    def test_a_division_by_equal_parts_is_written_as_before(self) -> None:
+        """VMs of an older version read no row with a key they don't know."""
+        raw = structure.unstructure(dispatching.Cells(3))
+        self.assertEqual({'count': 3}, raw)
+
+    def test_a_cell_without_workers_leaves_equal_parts(self) -> None:
+        cells = dispatching.Cells(200)
+        self.assertEqual(cells, dispatching.share_by_room(cells, self.workers))
+
+    def test_rows_of_no_sense_are_no_division(self) -> None:
+        """Two VMs that read them differently would start a task twice."""
+        for shares in ([0.5, 0.5], [0.5, 0.6, -0.1], [0.3, 0.3, 0.3]):
+            with (
+                self.subTest(shares=shares),
+                self.assertRaises(errors.CheckFailed),
+            ):
+                structure.structure(
+                    {'count': 3, 'shares': shares}, dispatching.Cells
+                )
+
+
 class FirstDivisionTest(unittest.TestCase):
     """A deployment of 176 workers starts for the first time."""
 
