Ask a worker again whose answer is from before most VMs followed

Cause: tests.processes.test_jobs.test_jobs_come_back_whole failed once beside 11 busy processes: 30 runs for 24 tasks. Its log shows a dispatcher that claims, asks the workers, and comes to lead most VMs 25 ms later. Answers to questions from before that don't let leases be prolonged, and nobody asked again until the next regular question, so that tasks ran under the 40 ms of their orders and lapsed.

Change: such an answer is followed by another question at once, and the first answer since then by one that prolongs the leases of what has started meanwhile.

Ruled out: starting nothing before that answer. It holds back starts wherever a worker's answer is lost after most VMs have come back.

--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -4,6 +4,7 @@
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _ends
+from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _lives
 from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _state
@@ -70,8 +71,29 @@
         if key not in running and key not in ended:
             _take_absence(context, worker, order, report, now)
     _bar_late_starts(context, worker, report, now)
-    if report.asked_at >= context.led_since:
-        worker.is_surveyed = True
+    _take_survey(context, worker, report, now)
+
+
+def _take_survey(
+    context: _context.Context,
+    worker: _state.WorkerState,
+    report: model.WorkerReport,
+    now: float,
+) -> None:
+    """Takes in what a report says about who else may use a worker.
+
+    Until a worker has been asked since most VMs follow this one, its leases
+    aren't prolonged, and a task that starts meanwhile has a very short one.
+    """
+    if report.asked_at < context.led_since:
+        # Asked before: without another question now, what starts here lapses
+        # before the next regular one.
+        context.ask(_actions.LookAt(worker.worker.id))
+        return
+    has_short_leases = bool(worker.orders_by_key) and not worker.is_surveyed
+    worker.is_surveyed = True
+    if has_short_leases and _holding.may_prolong(context, worker, now):
+        context.ask(_actions.LookAt(worker.worker.id))
 
 
 def _heard(
--- a/tests/dispatching/test_holding.py
+++ b/tests/dispatching/test_holding.py
@@ -39,6 +39,29 @@
         self.report('w1')
         self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
 
+    def test_an_answer_from_before_most_followed_is_asked_for_again(
+        self,
+    ) -> None:
+        """A worker answers a question that was asked by a deputy.
+
+        The leases there aren't prolonged on it. What started next ran under
+        the 40 ms of its order and lapsed, in a group that had just started.
+        """
+        self._lose_majority()
+        self.list_workers(case.make_worker('w1'))
+        asked_at = self.now
+        self.now += 25.0
+        self._win_majority()
+        self.now += 2.0
+        self.report('w1', asked_at=asked_at)
+        self.assertEqual(1, len(self.pop(dispatching.LookAt)))
+        self._run_one()
+        self.now += 2.0
+        self.report('w1')
+        self.assertTrue(self.dispatcher.may_prolong('w1', self.now))
+        # One more question, which prolongs the lease of what has started.
+        self.assertEqual(1, len(self.pop(dispatching.LookAt)))
+
     def test_found_attempts_are_not_prolonged_until_they_are_gone(
         self,
     ) -> None:
