Let a worker's free room follow the capacity that its entry tells

Cause: a worker may start again as another kind, even at the same address. A report may tell of the new life before its entry is read; the entry then replaced the old one, but free cores, memory and accelerators stayed as reckoned from the old capacity, so a smaller worker went on being filled, a larger one stayed part empty, and its pace was that of the other kind.

Change: an entry of the present life with another capacity changes what is free by the difference, which may leave less than nothing until it fits again, and forgets the pace; event worker_resized says so.

--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -39,12 +39,34 @@
         _begin(context, worker, entry, now)
     elif entry.born is None:
         # An older peer lists no lives.
-        worker.worker = attrs.evolve(entry, born=present)
+        _update(context, worker, attrs.evolve(entry, born=present))
     else:
-        worker.worker = entry
+        _update(context, worker, entry)
     take_warm_up(context, worker, entry, now)
 
 
+def _update(
+    context: _context.Context, worker: _state.WorkerState, entry: model.Worker
+) -> None:
+    """Takes in a newer entry of the present life.
+
+    A report tells of a new life before its entry is read. The life may be of
+    another kind, so its capacity counts from the entry on.
+    """
+    before = worker.worker
+    worker.update(entry)
+    if entry.capacity == before.capacity:
+        return
+    context.note(
+        'worker_resized',
+        entry.id,
+        f'{before.capacity.cores:g} cores before,'
+        f' {entry.capacity.cores:g} now, {worker.free_cores:g} free',
+    )
+    context.run_times.forget(entry.id)
+    context.worker_changed(worker)
+
+
 def take_warm_up(
     context: _context.Context,
     worker: _state.WorkerState,
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -348,6 +348,18 @@
         order.job = None
         self.unclaimed_by_key[order.task, order.attempt] = order
 
+    def update(self, worker: model.Worker) -> None:
+        """Takes a newer entry of the same life; room follows its capacity.
+
+        What is free may be negative, if the capacity has shrunk below what
+        runs there; nothing starts until it fits again.
+        """
+        before, now = self.worker.capacity, worker.capacity
+        self.worker = worker
+        self.free_cores += now.cores - before.cores
+        self.free_memory_mb += now.memory_mb - before.memory_mb
+        self.free_accelerators += now.accelerators - before.accelerators
+
     def begin_anew(self, worker: model.Worker, now: float) -> None:
         """Forgets all but what takes room, for a new life of the worker.
 
--- a/tests/dispatching/test_lives.py
+++ b/tests/dispatching/test_lives.py
@@ -167,6 +167,45 @@
 _LOOK = dispatching.LookAt
 
 
+class OtherKindTest(LivesCase):
+    """A worker returns as another kind, at the same address."""
+
+    def _return(self, cores: float) -> None:
+        """Has a report tell of the new life before its entry is read."""
+        self.report('w1', born=_SECOND)
+        self.list_born(_SECOND, cores=cores, labels=('b',))
+        self.report('w1', born=_SECOND)
+
+    def test_room_follows_the_new_capacity(self) -> None:
+        """It would get tasks beyond it, and refuse them one after another."""
+        self._return(32.0)
+        self.submit(case.make_job(tasks=3, cores=16.0))
+        self.assertEqual(2, len(self.starts()))
+        self.assertEqual(1, len(self.noted('worker_resized')))
+
+    def test_a_larger_one_is_used_whole(self) -> None:
+        self._return(96.0)
+        self.submit(case.make_job(tasks=4, cores=32.0))
+        self.assertEqual(3, len(self.starts()))
+
+    def test_a_shrunk_one_starts_nothing_until_it_fits(self) -> None:
+        """Its capacity falls below what runs there already."""
+        start = self.start(cores=40.0)
+        self.answer(start)
+        self.list_born(_FIRST, cores=32.0)
+        self.submit(case.make_job('job-2', cores=16.0))
+        self.assertEqual([], self.starts())
+        self.report('w1', ended=((start, model.TaskEnd.DONE),), born=_FIRST)
+        self.assertEqual(1, len(self.starts()))
+
+    def test_its_label_counts(self) -> None:
+        """A task would fail on a kind of worker that it isn't made for."""
+        self._return(64.0)
+        self.submit(case.make_job('job-a', label='a'))
+        self.submit(case.make_job('job-b', label='b'))
+        self.assertEqual(['job-b'], [item.task.job for item in self.starts()])
+
+
 class ForgettingTest(LivesCase):
     """What was known of an earlier life counts no more."""
 
