Show operators who has the room, who waits and who was refused

Cause: operators couldn't see how much capacity each queue gets, who waits, or who was refused for which cause; the dispatcher's load counted jobs and workers only as a whole.

Change: a dispatcher gives a SchedulingView, by queue and, where room is shared, by key. Refusals get a typed cause where they are decided and are counted on the context. GET /v1/scheduling, rosemaryroad scheduling and six metrics show it. Counts of earlier turns of a VM are kept, so that its counters never fall. Label values are escaped, since racks are named by clients and the metrics library escapes nothing. losses tells refusals by the forecast and preemptions apart. Shares.rows is empty and preemptions stay 0 until the parts that fill them are there.

--- a/rosemaryroad/cli/_app.py
+++ b/rosemaryroad/cli/_app.py
@@ -74,6 +74,7 @@
     _operations.status,
     _operations.drain,
     _operations.drains,
+    _operations.scheduling,
     _explain.explain,
     _losses.losses,
 ):
--- a/rosemaryroad/cli/_operations.py
+++ b/rosemaryroad/cli/_operations.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from rosemaryroad import dispatching
 from rosemaryroad import errors
 from rosemaryroad import porcelain
 from rosemaryroad import structure
@@ -28,6 +29,15 @@
     'endpoints',
 )
 _DRAIN_COLUMNS = ('entry VM', 'failure domain', 'drained for s')
+_QUEUE_COLUMNS = (
+    'queue',
+    'tasks waiting',
+    'cores in use',
+    'jobs refused',
+    'tasks preempted',
+    'expected wait ms',
+)
+_SHARE_COLUMNS = ('cores in use', 'share', 'over its share', 'weight')
 _BURN_COLUMNS = (
     'service',
     'window',
@@ -68,6 +78,24 @@
     _show_report(shared, report, _DRAIN_COLUMNS, rows)
 
 
+def scheduling(context: typer.Context) -> None:
+    """Shows who waits, who has room and who was refused, by queue.
+
+    Asks the entry VMs at their addresses for operators, and adds up what
+    their dispatchers do. Refusals count since a dispatcher began.
+    """
+    shared = _context.shared(context)
+    report = porcelain.scheduling(shared.connection)
+    raw = structure.unstructure(report.view) | {
+        'reached': list(report.reached),
+        'not_reached': [
+            structure.unstructure(item) for item in report.not_reached
+        ],
+    }
+    _output.show(shared.output, raw, *_scheduling_tables(report))
+    _fail_if_nobody(bool(report.reached))
+
+
 def drain(context: typer.Context) -> None:
     """Has the one entry VM at --address answer what it holds and end."""
     shared = _context.shared(context)
@@ -147,6 +175,52 @@
     _fail_if_nobody(bool(report.reached))
 
 
+def _scheduling_tables(
+    report: porcelain.SchedulingReport,
+) -> collections.abc.Iterator[_output.Table]:
+    view = report.view
+    queues = tuple(
+        _queue_row(name, queue)
+        for name, queue in sorted(
+            view.queue_by_name.items(),
+            key=lambda item: (-item[1].waiting_tasks, item[0]),
+        )
+    )
+    in_use = sum(queue.cores for queue in view.queue_by_name.values())
+    note = (
+        f'{in_use:.1f} of {view.cores:.1f} cores in use by queues, '
+        f'{view.unassigned_cores:.1f} by attempts without a job'
+    )
+    yield _output.Table(_QUEUE_COLUMNS, queues, (note,))
+    shares = tuple(
+        (
+            name,
+            f'{share.cores:.1f}',
+            f'{share.share:.1%}',
+            'yes' if share.is_over else 'no',
+            f'{share.weight:g}',
+        )
+        for name, share in sorted(view.share_by_name.items())
+    )
+    columns = (view.sharing.value, *_SHARE_COLUMNS)
+    yield _output.Table(columns, shares, _missing(report.not_reached))
+
+
+def _queue_row(name: str, queue: dispatching.QueueView) -> tuple[object, ...]:
+    refused = ', '.join(
+        f'{count} {cause.value}'
+        for cause, count in sorted(queue.refusals_by_cause.items())
+    )
+    return (
+        name,
+        queue.waiting_tasks,
+        f'{queue.cores:.1f}',
+        refused,
+        queue.preempted_tasks,
+        f'{queue.expected_wait_ms:.0f}',
+    )
+
+
 def _status_rows(
     body: dict[str, typing.Any],
 ) -> collections.abc.Iterator[tuple[object, ...]]:
--- a/rosemaryroad/cli/_output.py
+++ b/rosemaryroad/cli/_output.py
@@ -30,20 +30,21 @@
     notes: tuple[str, ...] = ()
 
 
-def show(output: _context.Output, raw: typing.Any, as_table: Table) -> None:
+def show(output: _context.Output, raw: typing.Any, *as_tables: Table) -> None:
     """Prints a result.
 
     Args:
         output: How.
         raw: Mappings, lists and scalars, for JSON and YAML.
-        as_table: The same as a table.
+        *as_tables: The same as tables.
     """
     if output is _context.Output.JSON:
         print(json.dumps(raw, indent=2))
     elif output is _context.Output.YAML:
         print(yaml.safe_dump(raw, sort_keys=False, allow_unicode=True), end='')
     else:
-        _show_table(as_table)
+        for content in as_tables:
+            _show_table(content)
 
 
 def _show_table(content: Table) -> None:
--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -31,6 +31,12 @@
 from rosemaryroad.dispatching._scheduling import SchedulingPolicy
 from rosemaryroad.dispatching._scheduling import SharingKey
 from rosemaryroad.dispatching._scheduling import SharingPolicy
+from rosemaryroad.dispatching._view import DecisionCounts
+from rosemaryroad.dispatching._view import QueueView
+from rosemaryroad.dispatching._view import RefusalCause
+from rosemaryroad.dispatching._view import SchedulingView
+from rosemaryroad.dispatching._view import ShareRow
+from rosemaryroad.dispatching._view import ShareView
 
 __all__ = [
     'Action',
@@ -38,6 +44,7 @@
     'CLAIM_TIMEOUT_MS',
     'CellPolicy',
     'Cells',
+    'DecisionCounts',
     'DispatchLimits',
     'DispatcherLoad',
     'DrainBook',
@@ -53,8 +60,13 @@
     'PlacementRule',
     'PriorityOrder',
     'PriorityPolicy',
+    'QueueView',
+    'RefusalCause',
     'Role',
     'SchedulingPolicy',
+    'SchedulingView',
+    'ShareRow',
+    'ShareView',
     'SharingKey',
     'SharingPolicy',
     'StartTask',
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -1,5 +1,6 @@
 """The dispatcher's state, and the changes that keep it consistent."""
 
+import collections
 import itertools
 import math
 
@@ -12,6 +13,7 @@
 from rosemaryroad.dispatching import _scheduling
 from rosemaryroad.dispatching import _sharing
 from rosemaryroad.dispatching import _state
+from rosemaryroad.dispatching import _view
 from rosemaryroad.dispatching import _waiting
 
 # A worker refuses an order to start that arrives later than this. Delivery
@@ -104,6 +106,9 @@
         acked_sent_at_by_home: When the newest message that a home has
             answered was sent.
         drained_domains: Failure domains whose workers get no new tasks.
+        refusals_by_queue: How many jobs were refused, by queue and cause.
+        preemptions_by_queue: How many tasks were stopped for more urgent
+            jobs, by the queue of the stopped one.
     """
 
     def __init__(
@@ -129,6 +134,12 @@
         self.probe_by_number: dict[int, _state.Probe] = {}
         self.acked_sent_at_by_home: dict[str, float] = {}
         self.drained_domains: frozenset[str] = frozenset()
+        self.refusals_by_queue: collections.defaultdict[
+            str, collections.Counter[_view.RefusalCause]
+        ] = collections.defaultdict(collections.Counter)
+        self.preemptions_by_queue: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._numbers = itertools.count(1)
         self._changes = Changes()
         self._actions: list[_actions.Action] = []
@@ -310,6 +321,26 @@
             state.news = None
         self.forget_job(state, cause, now)
 
+    def refuse(
+        self,
+        state: _state.JobState,
+        cause: _view.RefusalCause,
+        detail: str,
+        now: float,
+        retry_after_ms: float,
+    ) -> None:
+        """Ends a job none of whose tasks was ever told to start.
+
+        Args:
+            state: The job.
+            cause: Why, for the counts.
+            detail: Why, for the log.
+            now: The present time.
+            retry_after_ms: When its client may come back.
+        """
+        self.refusals_by_queue[state.job.queue][cause] += 1
+        self.settle(state, model.JobEnd.NOT_RUN, detail, now, retry_after_ms)
+
     def forget_job(
         self, state: _state.JobState, cause: str, now: float
     ) -> None:
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -19,6 +19,8 @@
 from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
+from rosemaryroad.dispatching import _view
+from rosemaryroad.dispatching import _viewing
 
 _Actions = list[_actions.Action]
 
@@ -63,6 +65,14 @@
         """Returns what this dispatcher holds."""
         return _load.measure(self._context, now)
 
+    def view(self, now: float) -> _view.SchedulingView:
+        """Returns what this dispatcher does with its room."""
+        return _viewing.measure(self._context, now)
+
+    def counts(self) -> _view.DecisionCounts:
+        """Returns what this dispatcher has decided since its start."""
+        return _viewing.count(self._context)
+
     def is_outdated(self, worker_id: str, report: model.WorkerReport) -> bool:
         """Tells whether a report is of an earlier life of its worker."""
         worker = self._context.workers_by_id.get(worker_id)
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -10,6 +10,7 @@
 from rosemaryroad.dispatching import _placement
 from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _state
+from rosemaryroad.dispatching import _view
 
 # A job is given up for its deadline only where even a run shorter than
 # expected would miss it, since run times spread widely.
@@ -138,11 +139,12 @@
         expected = state.expected_ms * _OPTIMISM
         window = state.deadline - state.arrived
         if now + expected > state.deadline:
-            cause = f'{state.deadline - now:.0f} ms left of {expected:.0f}'
-            refuse(context, state, cause, now)
+            detail = f'{state.deadline - now:.0f} ms left of {expected:.0f}'
+            refuse(context, state, _view.RefusalCause.DEADLINE, detail, now)
         elif now - state.arrived > _PATIENCE * window:
-            cause = f'waited {now - state.arrived:.0f} ms of {window:.0f}'
-            refuse(context, state, cause, now)
+            detail = f'waited {now - state.arrived:.0f} ms of {window:.0f}'
+            cause = _view.RefusalCause.START_TIMEOUT
+            refuse(context, state, cause, detail, now)
         else:
             refuse_unless_it_fits(context, state, now)
 
@@ -163,18 +165,24 @@
     """Ends a job that has not started, if no worker could ever run it."""
     fit = _fit(context, state)
     if fit is _Fit.NONE:
-        refuse(context, state, 'no worker is large enough', now)
+        cause = _view.RefusalCause.TOO_LARGE
+        refuse(context, state, cause, 'no worker is large enough', now)
     elif fit is _Fit.ONLY_DRAINED:
-        refuse(context, state, _ONLY_DRAINED, now)
+        cause = _view.RefusalCause.DRAINED
+        refuse(context, state, cause, _ONLY_DRAINED, now)
 
 
 def refuse(
-    context: _context.Context, state: _state.JobState, cause: str, now: float
+    context: _context.Context,
+    state: _state.JobState,
+    cause: _view.RefusalCause,
+    detail: str,
+    now: float,
 ) -> None:
     """Ends a job none of whose tasks was ever told to start."""
-    cause = f'{cause}; {_load.describe_room(context, state, now)}'
+    detail = f'{detail}; {_load.describe_room(context, state, now)}'
     retry_ms = _RETRY_MS + state.expected_ms
-    context.settle(state, model.JobEnd.NOT_RUN, cause, now, retry_ms)
+    context.refuse(state, cause, detail, now, retry_ms)
 
 
 def _fit(context: _context.Context, state: _state.JobState) -> _Fit:
--- a/rosemaryroad/dispatching/_sharing.py
+++ b/rosemaryroad/dispatching/_sharing.py
@@ -1,6 +1,7 @@
 """Who has had more than a fair share of scarce room."""
 
 from rosemaryroad.dispatching import _state
+from rosemaryroad.dispatching import _view
 
 
 class Shares:
@@ -13,3 +14,7 @@
         self, state: _state.JobState, expected_ms: float, now: float
     ) -> None:
         """Takes in that room is taken for a task."""
+
+    def rows(self, now: float) -> tuple[_view.ShareRow, ...]:
+        """Returns the standing of each key that has an account."""
+        return ()
--- a/rosemaryroad/jobserver/_cell_dispatching.py
+++ b/rosemaryroad/jobserver/_cell_dispatching.py
@@ -109,6 +109,20 @@
             whole.add(part.load())
         return whole
 
+    def view(self) -> dispatching.SchedulingView:
+        """Returns what this VM does with the room of all its cells."""
+        whole = dispatching.SchedulingView()
+        for part in self._parts:
+            whole.add(part.view())
+        return whole
+
+    def counts(self) -> dispatching.DecisionCounts:
+        """Returns what this VM has decided in all cells since its start."""
+        whole = dispatching.DecisionCounts()
+        for part in self._parts:
+            whole.add(part.counts())
+        return whole
+
     def close(self) -> None:
         """Ends all sessions."""
         for part in self._parts:
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -57,6 +57,7 @@
         self._lost_at_by_worker: dict[str, float] = {}
         self._workers: tuple[model.Worker, ...] = ()
         self._drained_domains: frozenset[str] = frozenset()
+        self._past_counts = dispatching.DecisionCounts()
 
     @property
     def is_acting(self) -> bool:
@@ -78,6 +79,7 @@
             self.drain_domains(self._drained_domains)
             self.list_workers(self._workers)
             return
+        self._past_counts.add(self._dispatcher.counts())
         self._dispatcher = None
         for session in self._session_by_worker.values():
             session.close()
@@ -139,6 +141,20 @@
             return dispatching.DispatcherLoad()
         return self._dispatcher.load(self._clock.now())
 
+    def view(self) -> dispatching.SchedulingView:
+        """Returns what is done with the room here, for operators."""
+        if self._dispatcher is None:
+            return dispatching.SchedulingView()
+        return self._dispatcher.view(self._clock.now())
+
+    def counts(self) -> dispatching.DecisionCounts:
+        """Returns what was decided here, also in earlier turns."""
+        counts = dispatching.DecisionCounts()
+        counts.add(self._past_counts)
+        if self._dispatcher is not None:
+            counts.add(self._dispatcher.counts())
+        return counts
+
     def close(self) -> None:
         """Ends all sessions."""
         self.act(False)
--- a/rosemaryroad/jobserver/_front.py
+++ b/rosemaryroad/jobserver/_front.py
@@ -1,5 +1,6 @@
 """What callers may ask of this entry VM, whatever they speak."""
 
+import collections.abc
 import logging
 
 from rosemaryroad import clock as clock_module
@@ -36,6 +37,7 @@
         drains: The drained failure domains.
         metrics: Where answers are counted.
         clock: The clock.
+        view: Returns what this VM does with the room of its cells.
     """
 
     def __init__(
@@ -45,12 +47,14 @@
         drains: dispatching.DrainBook,
         metrics: _metrics.JobMetrics,
         clock: clock_module.Clock,
+        view: collections.abc.Callable[[], dispatching.SchedulingView],
     ) -> None:
         self._queues = queues
         self._home = home
         self._drains = drains
         self._metrics = metrics
         self._clock = clock
+        self._view = view
         self.ends_at: float | None = None
 
     def has_time_for(self, job: model.Job) -> bool:
@@ -142,6 +146,10 @@
             jobservice.DrainedDomain(*item) for item in sorted(ages_ms.items())
         )
 
+    def scheduling(self) -> dispatching.SchedulingView:
+        """Returns what this VM does with the room that it dispatches."""
+        return self._view()
+
     def pending(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started here."""
         return self._home.pending(queue)
--- a/rosemaryroad/jobserver/_metrics.py
+++ b/rosemaryroad/jobserver/_metrics.py
@@ -91,6 +91,35 @@
             'dispatcher_workers',
             'Workers of this dispatcher by their condition.',
         )
+        self._queue_waiting = self._add(
+            aioprometheus.Gauge,
+            'queue_waiting_tasks',
+            'Tasks that wait for room at the dispatcher.',
+        )
+        self._queue_cores = self._add(
+            aioprometheus.Gauge, 'queue_cores', 'Cores in use by a queue.'
+        )
+        self._queues: set[str] = set()
+        self._refusals = self._add(
+            aioprometheus.Counter,
+            'queue_refusals_total',
+            'Jobs that the dispatcher refused, by queue and cause.',
+        )
+        self._preemptions = self._add(
+            aioprometheus.Counter,
+            'preemptions_total',
+            'Tasks stopped for more urgent jobs, by their queue.',
+        )
+        self._share_over = self._add(
+            aioprometheus.Gauge,
+            'share_over',
+            '1 while a key is over its share of the room.',
+        )
+        self._share_of_cores = self._add(
+            aioprometheus.Gauge,
+            'share_of_cores',
+            "A key's share of the cores, from 0 to 1.",
+        )
         self._feed_age = self._add(
             aioprometheus.Gauge,
             'store_feed_age_seconds',
@@ -170,6 +199,53 @@
             count = load.workers_by_condition[condition]
             self._workers.set({'condition': condition.value}, count)
 
+    def set_scheduling(
+        self,
+        view: dispatching.SchedulingView,
+        counts: dispatching.DecisionCounts,
+    ) -> None:
+        """Sets what the dispatchers of this VM do with their room.
+
+        Args:
+            view: What they do now.
+            counts: What they and earlier ones of this VM have decided.
+        """
+        self._set_queues(view.queue_by_name)
+        self._set_shares(view.share_by_name)
+        for queue, by_cause in counts.refusals_by_queue.items():
+            for cause, count in by_cause.items():
+                labels = {'queue': _label(queue), 'cause': cause.value}
+                self._refusals.set(labels, count)
+        for queue, count in counts.preemptions_by_queue.items():
+            self._preemptions.set({'queue': _label(queue)}, count)
+
+    def _set_queues(
+        self,
+        queue_by_name: collections.abc.Mapping[str, dispatching.QueueView],
+    ) -> None:
+        # A deployment has over a thousand queues, most of them idle; only
+        # those that have had jobs here get a series.
+        self._queues |= queue_by_name.keys()
+        idle = dispatching.QueueView()
+        for name in self._queues:
+            queue = queue_by_name.get(name, idle)
+            labels = {'queue': _label(name)}
+            self._queue_waiting.set(labels, queue.waiting_tasks)
+            self._queue_cores.set(labels, queue.cores)
+
+    def _set_shares(
+        self,
+        share_by_name: collections.abc.Mapping[str, dispatching.ShareView],
+    ) -> None:
+        # Racks are named by clients. A key that is gone leaves no series, so
+        # that their number stays that of the accounts.
+        self._share_over.values.clear()
+        self._share_of_cores.values.clear()
+        for name, share in share_by_name.items():
+            labels = {'key': _label(name)}
+            self._share_over.set(labels, int(share.is_over))
+            self._share_of_cores.set(labels, share.share)
+
     def set_state(self, state: NodeState) -> None:
         """Sets the gauges of the daemon itself."""
         self._version.set({}, state.queues_version)
@@ -207,3 +283,13 @@
             registry=self._registry,
             buckets=list(_BOUNDS_S),
         )
+
+
+def _label(text: str) -> str:
+    """Returns text as the value of a label.
+
+    The library doesn't escape it. A rack that a client names with a quote, a
+    line break or half a character would make the whole page unreadable.
+    """
+    whole = text.encode('utf-8', 'replace').decode()
+    return whole.replace('\\', r'\\').replace('\n', r'\n').replace('"', r'\"')
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -107,12 +107,17 @@
         self._home = _home.JobHome(
             settings.vm, clock, self._send, settings.failure_domain
         )
-        self.front = _front.JobFront(
-            self.queues, self._home, self._drains, self.metrics, clock
-        )
         self._dispatching = _cell_dispatching.CellDispatching(
             self._make_dispatching
         )
+        self.front = _front.JobFront(
+            self.queues,
+            self._home,
+            self._drains,
+            self.metrics,
+            clock,
+            self._dispatching.view,
+        )
         handler = _members.JobLinkHandler()
         self._links = (make_links or self._make_links)(handler)
         self._members = _members.Members(
@@ -450,6 +455,9 @@
     def _render_metrics(self) -> str:
         roles = self._members.roles
         self.metrics.set_load(self._dispatching.load())
+        self.metrics.set_scheduling(
+            self._dispatching.view(), self._dispatching.counts()
+        )
         self.metrics.set_state(
             _metrics.NodeState(
                 self.queues.version,
--- a/rosemaryroad/jobservice.py
+++ b/rosemaryroad/jobservice.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rosemaryroad import dispatching
 from rosemaryroad import model
 
 __all__ = ['DrainedDomain', 'JobAnswer', 'JobService', 'QueueMatch']
@@ -107,6 +108,10 @@
     def drained_domains(self) -> tuple[DrainedDomain, ...]:
         """Returns the failure domains that are drained."""
 
+    @abc.abstractmethod
+    def scheduling(self) -> dispatching.SchedulingView:
+        """Returns what this VM does with the room that it dispatches."""
+
     @abc.abstractmethod
     def pending(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started here."""
--- a/rosemaryroad/losses/_causes.py
+++ b/rosemaryroad/losses/_causes.py
@@ -25,11 +25,13 @@
     DOMAIN_DRAINED = 'all workers that are large enough are drained'
     REFUSED_WAITING = 'refused after a wait for room'
     REFUSED_DEADLINE = 'refused, since too little time was left'
+    REFUSED_FORECAST = 'refused, since it could hardly start in time'
     DISPATCHER_ABSENT = 'no dispatcher, or another one'
     ORDER_UNANSWERED = 'an order got no answer'
     ATTEMPT_LAPSED = 'an attempt lapsed'
     WORKER_FAILED = 'a worker failed it'
     WORKER_SLOW = 'a worker was slow or stood still'
+    PREEMPTED = 'a more urgent job took its room'
     NO_ROOM = 'it waited for room'
     LONG_RUN = 'it ran long, though it started soon'
     UNKNOWN = 'unknown'
@@ -78,6 +80,10 @@
     return story.settled.startswith('waited')
 
 
+def _was_forecast(story: _stories.JobStory) -> bool:
+    return story.settled.startswith('no room in time')
+
+
 def _had_no_time(story: _stories.JobStory) -> bool:
     return ' ms left of ' in story.settled
 
@@ -94,6 +100,10 @@
     return 'no progress' in story.stops or 'too slow' in story.stops
 
 
+def _was_preempted(story: _stories.JobStory) -> bool:
+    return any(cause.startswith('preempted') for cause in story.stops)
+
+
 def _has_lapsed(story: _stories.JobStory) -> bool:
     if any(end.how == 'lapsed' for end in story.ends):
         return True
@@ -126,9 +136,11 @@
     (Cause.DISPATCHER_ABSENT, _lost_dispatcher),
     (Cause.REFUSED_WAITING, _waited_out),
     (Cause.REFUSED_DEADLINE, _had_no_time),
+    (Cause.REFUSED_FORECAST, _was_forecast),
     (Cause.WORKER_FAILED, _has_failed),
     (Cause.WORKER_SLOW, _was_slow),
     (Cause.ORDER_UNANSWERED, _was_unanswered),
+    (Cause.PREEMPTED, _was_preempted),
     (Cause.ATTEMPT_LAPSED, _has_lapsed),
     (Cause.NO_ROOM, _waited_for_room),
     (Cause.LONG_RUN, _has_run),
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -123,6 +123,9 @@
             drains = self._front.drained_domains()
             told = [structure.unstructure(item) for item in drains]
             return self._json(http.HTTPStatus.OK, {'drains': told})
+        if path == '/v1/scheduling':
+            view = self._front.scheduling()
+            return self._json(http.HTTPStatus.OK, structure.unstructure(view))
         return _empty(http.HTTPStatus.NOT_FOUND)
 
     async def _serve_caller(self, request: web.BaseRequest) -> web.Response:
--- a/rosemaryroad/porcelain/__init__.py
+++ b/rosemaryroad/porcelain/__init__.py
@@ -9,6 +9,8 @@
 from rosemaryroad.porcelain._operations import EntryStatus
 from rosemaryroad.porcelain._operations import NotReached
 from rosemaryroad.porcelain._operations import report_burn
+from rosemaryroad.porcelain._operations import scheduling
+from rosemaryroad.porcelain._operations import SchedulingReport
 from rosemaryroad.porcelain._operations import status
 from rosemaryroad.porcelain._operations import StatusReport
 from rosemaryroad.porcelain._services import change
@@ -30,6 +32,7 @@
     'DryRun',
     'EntryStatus',
     'NotReached',
+    'SchedulingReport',
     'ServiceSummary',
     'StatusReport',
     'cancel',
@@ -37,6 +40,7 @@
     'drain',
     'drained_domains',
     'report_burn',
+    'scheduling',
     'service_delete',
     'service_get',
     'service_history',
--- a/rosemaryroad/porcelain/_operations.py
+++ b/rosemaryroad/porcelain/_operations.py
@@ -6,6 +6,7 @@
 import attrs
 
 from rosemaryroad import decisions
+from rosemaryroad import dispatching
 from rosemaryroad import errors
 from rosemaryroad import structure
 from rosemaryroad.porcelain import _connection
@@ -65,6 +66,21 @@
     not_reached: tuple[NotReached, ...]
 
 
+@attrs.frozen
+class SchedulingReport:
+    """What all dispatchers do with their room, as far as VMs answered.
+
+    Attributes:
+        view: The sum of those that answered.
+        reached: Where an answer came from.
+        not_reached: Where none came from; their answers are missing.
+    """
+
+    view: dispatching.SchedulingView
+    reached: tuple[str, ...]
+    not_reached: tuple[NotReached, ...]
+
+
 def status(connection: _connection.Connection) -> StatusReport:
     """Asks every entry VM for its state."""
     gathered = _gather(connection, '/v1/status')
@@ -90,6 +106,23 @@
     )
 
 
+def scheduling(connection: _connection.Connection) -> SchedulingReport:
+    """Adds up what entry VMs that serve jobs do with their room.
+
+    Args:
+        connection: Their addresses for operators.
+    """
+    gathered = _gather(connection, '/v1/scheduling')
+    whole = dispatching.SchedulingView()
+    for _, body in gathered.bodies:
+        whole.add(structure.structure(body, dispatching.SchedulingView))
+    return SchedulingReport(
+        whole,
+        tuple(address for address, _ in gathered.bodies),
+        gathered.not_reached,
+    )
+
+
 def report_burn(connection: _connection.Connection) -> BurnReport:
     """Adds up the burn of every entry VM that answers."""
     gathered = _gather(connection, '/v1/burn')
--- a/tests/cli/test_operations.py
+++ b/tests/cli/test_operations.py
@@ -3,6 +3,7 @@
 import json
 
 from rosemaryroad import decisions
+from rosemaryroad import dispatching
 from rosemaryroad import errors
 from rosemaryroad import model
 from rosemaryroad import structure
@@ -42,6 +43,21 @@
     }
 
 
+def _scheduling(waiting: int) -> dict:
+    drained = dispatching.RefusalCause.DRAINED
+    queue = dispatching.QueueView(waiting, 27.0, {drained: 1}, 1, 150.0)
+    share = dispatching.ShareView(1.0, 27.0, 0.125 * waiting - 0.0625, True)
+    return structure.unstructure(
+        dispatching.SchedulingView(
+            100.0,
+            0.0,
+            dispatching.SharingKey.RACK,
+            {'q': queue},
+            {'rack-1': share},
+        )
+    )
+
+
 class OperationsTest(cli_case.CliCase):
     """Reports come from all entry VMs and name those that are missing."""
 
@@ -104,6 +120,24 @@
         self.assertIn(f'not reached: {_NOBODY}', done.stdout)
         self.assertNotIn(self.second.address, done.stdout)
 
+    def test_scheduling_adds_up_what_all_dispatchers_do(self) -> None:
+        """Each cell has its own dispatcher, on another entry VM."""
+        for entry, waiting in ((self.first, 3), (self.second, 4)):
+            entry.replies['GET scheduling'] = _scheduling(waiting)
+        done = self.run_well('scheduling', addresses=self.all)
+        self.assertRegex(done.stdout, r'\bq +7 +54.0 +2 drained +2 +150 *\n')
+        self.assertIn('54.0 of 200.0 cores in use', done.stdout)
+        self.assertRegex(done.stdout, r'rack-1 +54.0 +37.5% +yes')
+        self.assertIn(f'not reached: {_NOBODY}', done.stdout)
+
+    def test_scheduling_as_json(self) -> None:
+        self.first.replies['GET scheduling'] = _scheduling(3)
+        done = self.run_well('--output', 'json', 'scheduling')
+        shown = json.loads(done.stdout)
+        queue = shown['queue_by_name']['q']
+        self.assertEqual({'drained': 1}, queue['refusals_by_cause'])
+        self.assertEqual([self.first.address], shown['reached'])
+
     def test_drain_takes_one_address(self) -> None:
         self.first.replies['POST drain'] = {'state': 'draining'}
         done = self.run_tool('drain')
--- a/tests/jobserver/test_front.py
+++ b/tests/jobserver/test_front.py
@@ -21,6 +21,7 @@
             self.drains,
             _metrics.JobMetrics('entry-1'),
             self.clock,
+            dispatching.SchedulingView,
         )
 
 
--- a/tests/jobserver/test_metrics.py
+++ b/tests/jobserver/test_metrics.py
@@ -1,5 +1,6 @@
 """Tests of what a daemon that serves jobs counts."""
 
+import collections
 import pathlib
 import re
 import unittest
@@ -11,6 +12,14 @@
 _DOCS = pathlib.Path(__file__).resolve().parent.parent.parent / 'docs'
 
 
+def _counts(queue: str, refused: int) -> dispatching.DecisionCounts:
+    drained = dispatching.RefusalCause.DRAINED
+    return dispatching.DecisionCounts(
+        {queue: collections.Counter({drained: refused})},
+        collections.Counter({queue: 2}),
+    )
+
+
 class JobMetricsTest(unittest.TestCase):
     """Every collector is served and stands on the operators' page."""
 
@@ -27,6 +36,11 @@
         load = dispatching.DispatcherLoad(3, 1, 250.0)
         load.workers_by_condition[dispatching.WorkerCondition.SILENT] = 5
         self.metrics.set_load(load)
+        view = dispatching.SchedulingView(
+            queue_by_name={'q': dispatching.QueueView(4, 54.0)},
+            share_by_name={'q': dispatching.ShareView(1.0, 54.0, 0.25, True)},
+        )
+        self.metrics.set_scheduling(view, _counts('q', 3))
         self.metrics.set_state(
             _metrics.NodeState(
                 7,
@@ -53,6 +67,9 @@
             'le',
             'condition',
             'failure_domain',
+            'queue',
+            'cause',
+            'key',
         }
         self.assertEqual(expected, found)
 
@@ -72,11 +89,41 @@
             ' 0',
             'rosemaryroad_store_feed_age_seconds{table="op",vm="entry-1"} 0.4',
             'rosemaryroad_queues_age_seconds{vm="entry-1"} 1.5',
+            'rosemaryroad_queue_waiting_tasks{queue="q",vm="entry-1"} 4',
+            'rosemaryroad_queue_cores{queue="q",vm="entry-1"} 54.0',
+            'rosemaryroad_queue_refusals_total{cause="drained",queue="q",'
+            'vm="entry-1"} 3',
+            'rosemaryroad_preemptions_total{queue="q",vm="entry-1"} 2',
+            'rosemaryroad_share_over{key="q",vm="entry-1"} 1',
+            'rosemaryroad_share_of_cores{key="q",vm="entry-1"} 0.25',
             'rosemaryroad_domain_drained{failure_domain="szeged",'
             'vm="entry-1"} 1',
         ):
             self.assertIn(line, text)
 
+    def test_an_idle_queue_falls_to_zero(self) -> None:
+        """A gauge that kept its last value would show a queue at work."""
+        view = dispatching.SchedulingView()
+        self.metrics.set_scheduling(view, _counts('q', 3))
+        text = self.metrics.render()
+        self.assertIn('queue_waiting_tasks{queue="q",vm="entry-1"} 0', text)
+        self.assertNotIn('share_over{', text)
+
+    def test_a_client_cannot_break_the_page(self) -> None:
+        """Racks are named by clients, and the library escapes nothing."""
+        share = dispatching.ShareView()
+        for name, shown in (
+            ('a"b', r'a\"b'),
+            ('a\nb', r'a\nb'),
+            ('a\\', r'a\\'),
+            ('\ud800', '?'),
+        ):
+            with self.subTest(shown):
+                view = dispatching.SchedulingView(share_by_name={name: share})
+                self.metrics.set_scheduling(view, dispatching.DecisionCounts())
+                text = self.metrics.render()
+                self.assertIn(f'share_over{{key="{shown}",vm=', text)
+
     def test_every_metric_is_in_the_docs(self) -> None:
         """A metric that the page leaves out is looked at by nobody."""
         shown = re.findall(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -117,6 +117,18 @@
         )
         self.assertEqual('job_settled', found.first_fault.event)
 
+    def test_a_preemption_is_shown_with_its_cause(self) -> None:
+        """Its job would seem to have run twice for no reason."""
+        lines = _whole()
+        stop = {'task': 0, 'attempt': 1, 'cause': 'preempted for job 1'}
+        lines[3:3] = [
+            _of_job(1.05, 'e2', 'task_stopped', worker='w1', **stop),
+            _of_job(1.1, 'e2', 'task_ordered', task=0, attempt=2, worker='w1'),
+        ]
+        found = self._explain(lines)
+        self.assertEqual('task_stopped', found.first_fault.event)
+        self.assertIn('preempted for job 1', found.first_fault.detail)
+
     def test_a_home_that_died_leaves_no_end(self) -> None:
         found = self._explain(_whole()[:3])
         self.assertIn('no end is logged', found.outcome)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -124,6 +124,10 @@
     ),
     (losses.Cause.REFUSED_WAITING, _refused('waited 900 ms of 2000; 27')),
     (losses.Cause.REFUSED_DEADLINE, _refused('100 ms left of 140; 27 cores')),
+    (
+        losses.Cause.REFUSED_FORECAST,
+        _refused('no room in time: 81 cores wanted'),
+    ),
     (
         losses.Cause.DISPATCHER_ABSENT,
         _Lines()
@@ -159,6 +163,15 @@
         .answered(0.7)
         .lines,
     ),
+    (
+        losses.Cause.PREEMPTED,
+        _begun()
+        .add(0.05, 'task_stopped', 'd1', cause='preempted for job 1')
+        .ordered(0.4, 2)
+        .ended(0.6)
+        .answered(0.6)
+        .lines,
+    ),
     (
         losses.Cause.NO_ROOM,
         _Lines()
