Refuse jobs that a forecast leaves no chance to start in time

Cause: a job that nothing can start in time is refused only after 0.45 of its client's time, although the queue often leaves it no chance earlier. After all VMs were lost, the backlog runs into that limit one by one, and all callers are told to come back at about the same time.

Change: with scheduling.admission.forecast, a job is checked on arrival, and all waiting ones every 100 ms, against the cores that are expected to come free and the work ahead. Refusals name the forecast's inputs and give the time when the queue is expected to have drained, with jitter by the job's id. A job that comes back when told is not refused by the forecast again. Without the setting, nothing is computed. The forecast doesn't use the rate at which cores came free, since the number of short tasks that end varies by more than the room in question; Context.room_freed goes.

--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -8,6 +8,7 @@
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _forecast
+from rosemaryroad.dispatching import _refusals
 from rosemaryroad.dispatching import _run_times
 from rosemaryroad.dispatching import _scheduling
 from rosemaryroad.dispatching import _sharing
@@ -90,6 +91,8 @@
             before it may hand its jobs to another one.
         run_times: What tasks take.
         forecast: When room comes free.
+        refusals: Which jobs the forecast has had refused.
+        next_review_at: When all waiting jobs are next checked against it.
         shares: Who has had more than a fair share of the room.
         waiting: The jobs with waiting tasks, in order.
         jobs_by_id: All jobs that are not settled.
@@ -118,7 +121,11 @@
         self.led_since = -math.inf
         self.silence_ms = silence_ms
         self.run_times = _run_times.RunTimes()
-        self.forecast = _forecast.Forecast()
+        self.forecast = _forecast.Forecast(
+            limits.scheduling.admission.forecast
+        )
+        self.refusals = _refusals.RecentRefusals()
+        self.next_review_at = -math.inf
         self.shares = _sharing.Shares()
         self.waiting = _waiting.WaitingJobs(self.run_times)
         self.jobs_by_id: dict[str, _state.JobState] = {}
@@ -178,10 +185,6 @@
         """Takes in that room is taken for a task of a job."""
         self.shares.task_placed(state, state.expected_ms, now)
 
-    def room_freed(self, order: _state.Order, now: float) -> None:
-        """Takes in that an attempt has ended and left its room."""
-        self.forecast.room_freed(order.needs.cores, now)
-
     # Changes.
 
     def take_changes(self) -> Changes:
--- a/rosemaryroad/dispatching/_ends.py
+++ b/rosemaryroad/dispatching/_ends.py
@@ -14,7 +14,6 @@
 ) -> None:
     """Takes in the end of an attempt that took room at a worker."""
     context.remove_order(worker, order)
-    context.room_freed(order, now)
     state = order.job
     if state is None or context.jobs_by_id.get(state.job.id) is not state:
         return
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -168,12 +168,35 @@
         refuse(context, state, _ONLY_DRAINED, now)
 
 
+def start_timeout(state: _state.JobState) -> float:
+    """Returns when a job is refused if it has not started."""
+    window = state.deadline - state.arrived
+    return min(
+        state.arrived + _PATIENCE * window,
+        state.deadline - state.expected_ms * _OPTIMISM,
+    )
+
+
 def refuse(
-    context: _context.Context, state: _state.JobState, cause: str, now: float
+    context: _context.Context,
+    state: _state.JobState,
+    cause: str,
+    now: float,
+    retry_ms: float | None = None,
 ) -> None:
-    """Ends a job none of whose tasks was ever told to start."""
+    """Ends a job none of whose tasks was ever told to start.
+
+    Args:
+        context: All jobs and workers.
+        state: The job.
+        cause: Why it is refused.
+        now: The present time.
+        retry_ms: In how long the client is told to come back, if more is
+            known than what a round of tasks takes.
+    """
     cause = f'{cause}; {_load.describe_room(context, state, now)}'
-    retry_ms = _RETRY_MS + state.expected_ms
+    if retry_ms is None:
+        retry_ms = _RETRY_MS + state.expected_ms
     context.settle(state, model.JobEnd.NOT_RUN, cause, now, retry_ms)
 
 
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -178,6 +178,8 @@
         waiting: How many tasks wait.
         left: How many tasks have not ended well.
         home_domain: The failure domain of the home that handed it over.
+        has_returned: Whether it was refused by the forecast and has come
+            back when told.
     """
 
     job: model.Job
@@ -205,6 +207,7 @@
     waiting: int = 0
     left: int = 0
     home_domain: str = ''
+    has_returned: bool = False
 
     @property
     def highest_attempt(self) -> int:
--- a/rosemaryroad/losses/_causes.py
+++ b/rosemaryroad/losses/_causes.py
@@ -24,6 +24,7 @@
     TOO_LARGE = 'no worker is large enough'
     DOMAIN_DRAINED = 'all workers that are large enough are drained'
     REFUSED_WAITING = 'refused after a wait for room'
+    REFUSED_FORECAST = 'refused, since room was not expected in time'
     REFUSED_DEADLINE = 'refused, since too little time was left'
     DISPATCHER_ABSENT = 'no dispatcher, or another one'
     ORDER_UNANSWERED = 'an order got no answer'
@@ -78,6 +79,10 @@
     return story.settled.startswith('waited')
 
 
+def _was_forecast(story: _stories.JobStory) -> bool:
+    return story.settled.startswith('no room in time')
+
+
 def _had_no_time(story: _stories.JobStory) -> bool:
     return ' ms left of ' in story.settled
 
@@ -125,6 +130,7 @@
     (Cause.DOMAIN_DRAINED, _is_drained),
     (Cause.DISPATCHER_ABSENT, _lost_dispatcher),
     (Cause.REFUSED_WAITING, _waited_out),
+    (Cause.REFUSED_FORECAST, _was_forecast),
     (Cause.REFUSED_DEADLINE, _had_no_time),
     (Cause.WORKER_FAILED, _has_failed),
     (Cause.WORKER_SLOW, _was_slow),
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 import heapq
 import itertools
 import math
@@ -36,6 +37,7 @@
         worth: What an answer in time is worth to the users.
         priority: The queue's priority.
         deadline_ms: How long clients wait.
+        burst_at: Gives how many times as many come at a second, or None.
     """
 
     queue: str
@@ -45,6 +47,7 @@
     worth: float
     priority: int
     deadline_ms: float
+    burst_at: collections.abc.Callable[[float], float] | None = None
 
     @property
     def terms(self) -> model.JobTerms:
@@ -73,6 +76,7 @@
     run_ms_by_task: list[float]
     ended: float | None = None
     end: model.JobEnd | None = None
+    cause: str = ''
 
 
 @attrs.define
@@ -116,7 +120,9 @@
         kinds: The kinds of request, as they come to 24 workers.
         workers: How many workers there are.
         away: From when to when nobody dispatches, in seconds; what comes
-            meanwhile is handed over at its end.
+            meanwhile is handed over at its end. From the first second on,
+            the dispatcher is a new one that has yet to hear of workers.
+        limits: Figures of the deployment.
     """
 
     def __init__(
@@ -128,6 +134,7 @@
         kinds: tuple[Kind, ...] = KINDS,
         workers: int = 24,
         away: tuple[float, float] | None = None,
+        limits: dispatching.DispatchLimits | None = None,
     ) -> None:
         self._rng = random.Random(seed)
         self._load_at = load_at or (lambda _: load)
@@ -139,7 +146,7 @@
         self._numbers = itertools.count()
         self.now = 0.0
         self.dispatcher = dispatching.JobDispatcher(
-            dispatching.DispatchLimits()
+            limits or dispatching.DispatchLimits()
         )
         self.jobs: dict[str, _Job] = {}
         self._pace: dict[str, float] = {}
@@ -148,28 +155,39 @@
 
     def play(self) -> dict[str, Tally]:
         """Plays the load to its end and returns what each kind got."""
+        begins_at = self._handed_at()
+        if begins_at:
+            self._at(begins_at, self._list_workers)
+        else:
+            self._list_workers()
+        for kind in self._kinds:
+            self._at(self._gap(kind, 0.0), self._arrive, kind)
+        self._at(begins_at + _TICK_MS, self._tick)
+        while self._events:
+            self.now, _, what, arguments = heapq.heappop(self._events)
+            what(*arguments)
+        return self._tallies()
+
+    def _list_workers(self) -> None:
         workers = []
         for index in range(self._workers):
             worker = case.make_worker(f'w{index:03}', _SIZES[index % 3])
             self._pace[worker.id] = _PACES[(index // 3) % 3]
             workers.append(worker)
-        self._do(self.dispatcher.workers_listed(workers, 0.0))
+        self._do(self.dispatcher.workers_listed(workers, self.now))
         for worker in workers:
             self._report(worker.id, ())
-        for kind in self._kinds:
-            self._at(self._gap(kind, 0.0), self._arrive, kind)
-        self._at(_TICK_MS, self._tick)
-        while self._events:
-            self.now, _, what, arguments = heapq.heappop(self._events)
-            what(*arguments)
-        return self._tallies()
 
     def _at(self, when: float, what, *arguments) -> None:
         entry = (when, next(self._numbers), what, arguments)
         heapq.heappush(self._events, entry)
 
     def _gap(self, kind: Kind, now: float) -> float:
-        rate = kind.per_s * self._load_at(now / 1000.0) * self._workers / 24
+        second = now / 1000.0
+        load = self._load_at(second)
+        if kind.burst_at is not None:
+            load *= kind.burst_at(second)
+        rate = kind.per_s * load * self._workers / 24
         return now + self._rng.expovariate(rate) * 1000.0
 
     def _spread(self, mean: float, spread: float) -> float:
@@ -228,15 +246,17 @@
             elif isinstance(action, dispatching.LookAt):
                 self._at(self.now + 2 * _HOP_MS, self._report, action.worker)
             elif isinstance(action, dispatching.TellHome):
-                self._told(action.message)
+                self._told(action)
 
-    def _told(self, message) -> None:
+    def _told(self, told: dispatching.TellHome) -> None:
+        message = told.message
         if isinstance(message, model.JobProgress) and message.number:
             self._at(self.now + 2 * _HOP_MS, self._record, message)
         if isinstance(message, model.JobSettled):
             job = self.jobs[message.job]
             job.ended = self.now
             job.end = message.end
+            job.cause = told.cause
 
     def _record(self, progress: model.JobProgress) -> None:
         message = model.PlacementsRecorded(progress.job, progress.number)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -123,6 +123,10 @@
         _refused('all workers that are large enough are drained; 27 cores'),
     ),
     (losses.Cause.REFUSED_WAITING, _refused('waited 900 ms of 2000; 27')),
+    (
+        losses.Cause.REFUSED_FORECAST,
+        _refused('no room in time: chance 0.012, 340 cores ahead'),
+    ),
     (losses.Cause.REFUSED_DEADLINE, _refused('100 ms left of 140; 27 cores')),
     (
         losses.Cause.DISPATCHER_ABSENT,
