--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -172,16 +172,37 @@
         refuse(context, state, cause, _ONLY_DRAINED, now)
 
 
+def start_timeout(state: _state.JobState) -> float:
+    """Returns when a job is refused if it has not started."""
+    window = state.deadline - state.arrived
+    return min(
+        state.arrived + _PATIENCE * window,
+        state.deadline - state.expected_ms * _OPTIMISM,
+    )
+
+
 def refuse(
     context: _context.Context,
     state: _state.JobState,
     cause: _view.RefusalCause,
     detail: str,
     now: float,
+    retry_ms: float | None = None,
 ) -> None:
-    """Ends a job none of whose tasks was ever told to start."""
+    """Ends a job none of whose tasks was ever told to start.
+
+    Args:
+        context: All jobs and workers.
+        state: The job.
+        cause: Why it is refused.
+        detail: The same in words, with the figures that decided it.
+        now: The present time.
+        retry_ms: In how long the client is told to come back, if more is
+            known than what a round of tasks takes.
+    """
     detail = f'{detail}; {_load.describe_room(context, state, now)}'
-    retry_ms = _RETRY_MS + state.expected_ms
+    if retry_ms is None:
+        retry_ms = _RETRY_MS + state.expected_ms
     context.refuse(state, cause, detail, now, retry_ms)
 
 
--- a/rosemaryroad/losses/_causes.py
+++ b/rosemaryroad/losses/_causes.py
@@ -24,8 +24,8 @@
     TOO_LARGE = 'no worker is large enough'
     DOMAIN_DRAINED = 'all workers that are large enough are drained'
     REFUSED_WAITING = 'refused after a wait for room'
+    REFUSED_FORECAST = 'refused, since room was not expected in time'
     REFUSED_DEADLINE = 'refused, since too little time was left'
-    REFUSED_FORECAST = 'refused, since it could hardly start in time'
     DISPATCHER_ABSENT = 'no dispatcher, or another one'
     ORDER_UNANSWERED = 'an order got no answer'
     ATTEMPT_LAPSED = 'an attempt lapsed'
@@ -135,8 +135,8 @@
     (Cause.DOMAIN_DRAINED, _is_drained),
     (Cause.DISPATCHER_ABSENT, _lost_dispatcher),
     (Cause.REFUSED_WAITING, _waited_out),
-    (Cause.REFUSED_DEADLINE, _had_no_time),
     (Cause.REFUSED_FORECAST, _was_forecast),
+    (Cause.REFUSED_DEADLINE, _had_no_time),
     (Cause.WORKER_FAILED, _has_failed),
     (Cause.WORKER_SLOW, _was_slow),
     (Cause.ORDER_UNANSWERED, _was_unanswered),
