--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -128,10 +128,6 @@
         _refused('no room in time: chance 0.012, 340 cores ahead'),
     ),
     (losses.Cause.REFUSED_DEADLINE, _refused('100 ms left of 140; 27 cores')),
-    (
-        losses.Cause.REFUSED_FORECAST,
-        _refused('no room in time: 81 cores wanted'),
-    ),
     (
         losses.Cause.DISPATCHER_ABSENT,
         _Lines()
