Order waiting jobs by priority and by fair shares of the cores

A burst of one queue, rack or failure domain made the jobs of all others late: waiting jobs were ordered by due time alone, and priorities were read by no decision.

With scheduling.priorities.order, due times are shifted by priority, or lower priorities come first. With scheduling.sharing.key, each key has an account of the work started for it, which drains at its weighted max-min share; jobs of a key that is over its share come after the others' jobs that are in time. The max-min division of the quotas moves to _fair_division, with weights.

--- a/rosemaryroad/decisions/_quota_shares.py
+++ b/rosemaryroad/decisions/_quota_shares.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rosemaryroad import _fair_division
 from rosemaryroad import model
 
 # Demand below this part of the even share is not told: it fits beside the
@@ -232,7 +233,7 @@
             return even
         own = min(own, total)
         claims = [own, *(min(item, total) for item in others if item)]
-        level = _level(total, claims)
+        level = _fair_division.level(total, claims)
         spare = total - sum(min(item, level) for item in claims)
         part = min(own, level) + spare / len(claims)
         return max(even, int(part))
@@ -256,19 +257,3 @@
 
     def _new(self, team: str) -> _Wanted:
         return _Wanted(model.team_key(self._service, team))
-
-
-def _level(total: int, claims: list[int]) -> float:
-    """Returns the most that each claim gets, all being served alike.
-
-    Claims below it are met whole; what they leave is divided evenly among
-    the others.
-    """
-    left = float(total)
-    waiting = sorted(claims)
-    for index, claim in enumerate(waiting):
-        even = left / (len(waiting) - index)
-        if claim >= even:
-            return even
-        left -= claim
-    return float(waiting[-1])
--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -31,6 +31,7 @@
 from rosemaryroad.dispatching._scheduling import SchedulingPolicy
 from rosemaryroad.dispatching._scheduling import SharingKey
 from rosemaryroad.dispatching._scheduling import SharingPolicy
+from rosemaryroad.dispatching._sharing import KeyShare
 
 __all__ = [
     'Action',
@@ -44,6 +45,7 @@
     'DrainChange',
     'FirstDivision',
     'JobDispatcher',
+    'KeyShare',
     'Leadership',
     'LeaseRow',
     'LookAt',
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -119,8 +119,11 @@
         self.silence_ms = silence_ms
         self.run_times = _run_times.RunTimes()
         self.forecast = _forecast.Forecast()
-        self.shares = _sharing.Shares()
-        self.waiting = _waiting.WaitingJobs(self.run_times)
+        scheduling = limits.scheduling
+        self.shares = _sharing.Shares(scheduling.sharing)
+        self.waiting = _waiting.WaitingJobs(
+            self.run_times, scheduling.priorities, self.shares
+        )
         self.jobs_by_id: dict[str, _state.JobState] = {}
         self.workers_by_id: dict[str, _state.WorkerState] = {}
         self.orders_by_task: dict[model.TaskId, dict[str, _state.Order]] = {}
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -357,6 +357,7 @@
             for worker in context.workers_by_id.values()
             if not context.is_drained(worker)
         )
+        context.shares.refresh(now, cores, context.waiting.has_waiting())
         context.waiting.refresh(now, cores)
         _recording.resend_unanswered(context, now)
         _recording.probe_homes(context, now)
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -193,7 +193,7 @@
     placed_by_worker: dict[str, list[int]] = attrs.field(factory=dict)
     news: 'JobNews | None' = None
     blamed: set[str] = attrs.field(factory=set)
-    rank: tuple[int, float] = (0, 0.0)
+    rank: tuple[float, ...] = (0, 0.0)
     expected_ms: float = 0.0
     due: float = 0.0
     of_use_until: float = 0.0
--- a/rosemaryroad/dispatching/_waiting.py
+++ b/rosemaryroad/dispatching/_waiting.py
@@ -6,6 +6,8 @@
 import operator
 
 from rosemaryroad.dispatching import _run_times
+from rosemaryroad.dispatching import _scheduling
+from rosemaryroad.dispatching import _sharing
 from rosemaryroad.dispatching import _state
 
 _RANK = operator.attrgetter('rank')
@@ -18,10 +20,11 @@
     """Which jobs come first; one that has begun comes before its equals."""
 
     FIRST = 0
-    LATE_BEGUN = 1
-    LATE = 2
-    TOO_LATE_BEGUN = 3
-    TOO_LATE = 4
+    OVER_SHARE = 1
+    LATE_BEGUN = 2
+    LATE = 3
+    TOO_LATE_BEGUN = 4
+    TOO_LATE = 5
 
 
 class WaitingJobs:
@@ -34,24 +37,42 @@
 
     Args:
         run_times: What tasks take.
+        priorities: What the priorities of queues do to the order.
+        shares: Who has had more than a fair share of the room.
+
+    Attributes:
+        priorities: As given; what is set later applies from the next
+            refresh.
     """
 
-    def __init__(self, run_times: _run_times.RunTimes) -> None:
+    def __init__(
+        self,
+        run_times: _run_times.RunTimes,
+        priorities: _scheduling.PriorityPolicy,
+        shares: _sharing.Shares,
+    ) -> None:
+        self.priorities = priorities
         self._run_times = run_times
+        self._shares = shares
         self._jobs: list[_state.JobState] = []
         self._are_few_late = True
+        self._is_by_due_alone = self._is_unset()
 
     def __iter__(self) -> collections.abc.Iterator[_state.JobState]:
         """Goes through the jobs in order; some may wait no longer."""
         return iter(self._jobs)
 
+    def has_waiting(self) -> bool:
+        """Tells whether any job waits."""
+        return any(state.waiting and not state.is_over for state in self._jobs)
+
     def add(self, state: _state.JobState, now: float) -> None:
         """Lets a job wait, if it doesn't already."""
         if state.is_queued:
             return
         state.is_queued = True
         self._judge(state, now)
-        self._rank(state)
+        self._rank(state, now)
         bisect.insort(self._jobs, state, key=_RANK)
 
     def refresh(self, now: float, cores: float) -> None:
@@ -61,6 +82,7 @@
             now: The present time.
             cores: What all workers have together.
         """
+        self._is_by_due_alone = self._is_unset()
         kept = []
         late_work = 0.0
         for state in self._jobs:
@@ -75,7 +97,7 @@
             kept.append(state)
         self._are_few_late = late_work <= _FEW_LATE_MS * cores
         for state in kept:
-            self._rank(state)
+            self._rank(state, now)
         kept.sort(key=_RANK)
         self._jobs = kept
 
@@ -92,7 +114,7 @@
         else:
             state.lateness = _state.Lateness.TOO_LATE
 
-    def _rank(self, state: _state.JobState) -> None:
+    def _rank(self, state: _state.JobState, now: float) -> None:
         # Jobs that have missed their objective come last where many have:
         # served first, they would make others miss theirs one after another.
         # Where a short loss of the dispatcher has made a few late, they
@@ -100,16 +122,44 @@
         # those in time can spare the moment.
         lateness = state.lateness
         if lateness is _state.Lateness.IN_TIME:
-            state.rank = (_Class.FIRST, state.due)
-            return
-        if lateness is _state.Lateness.LATE and self._are_few_late:
-            state.rank = (_Class.FIRST, state.of_use_until)
+            due = state.due
+        elif lateness is _state.Lateness.LATE and self._are_few_late:
+            due = state.of_use_until
+        else:
+            self._rank_late(state)
             return
+        if self._is_by_due_alone:
+            state.rank = (_Class.FIRST, due)
+        else:
+            state.rank = self._rank_by_policy(state, due, now)
+
+    def _rank_late(self, state: _state.JobState) -> None:
         # Among late ones those that have begun come first, and the shortest:
         # what was done for them is lost if the rest never runs.
-        if lateness is _state.Lateness.LATE:
+        if state.lateness is _state.Lateness.LATE:
             begun, not_begun = _Class.LATE_BEGUN, _Class.LATE
         else:
             begun, not_begun = _Class.TOO_LATE_BEGUN, _Class.TOO_LATE
         rank = begun if state.started else not_begun
         state.rank = (rank, state.left * state.expected_ms)
+
+    def _is_unset(self) -> bool:
+        order = self.priorities.order
+        is_unordered = order is _scheduling.PriorityOrder.NONE
+        return is_unordered and not self._shares.is_on
+
+    def _rank_by_policy(
+        self, state: _state.JobState, due: float, now: float
+    ) -> tuple[float, ...]:
+        first = _Class.FIRST
+        if self._shares.is_over(state):
+            first = _Class.OVER_SHARE
+        order = self.priorities.order
+        if order is _scheduling.PriorityOrder.NONE:
+            return (first, due)
+        priority = state.job.terms.priority
+        if order is _scheduling.PriorityOrder.SHIFTED:
+            return (first, due + self.priorities.shift_ms * priority)
+        if now - state.arrived >= self.priorities.longest_wait_ms:
+            priority = 0
+        return (first, priority, due)
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 import heapq
 import itertools
 import math
@@ -36,6 +37,10 @@
         worth: What an answer in time is worth to the users.
         priority: The queue's priority.
         deadline_ms: How long clients wait.
+        rack: The rack of its data, or ''.
+        home_domain: The failure domain of its clients' homes, or ''.
+        group: What its tally is kept under, in place of the queue.
+        load_at: Gives its own load at a second, on top of the common one.
     """
 
     queue: str
@@ -45,6 +50,12 @@
     worth: float
     priority: int
     deadline_ms: float
+    rack: str = ''
+    home_domain: str = ''
+    group: str = attrs.field(
+        default=attrs.Factory(lambda self: self.queue, takes_self=True)
+    )
+    load_at: collections.abc.Callable[[float], float] = lambda _: 1.0
 
     @property
     def terms(self) -> model.JobTerms:
@@ -83,6 +94,8 @@
         asked: Worth of all jobs.
         earned: Worth that was earned.
         jobs: How many jobs came.
+        in_time: How many were answered within their objective.
+        work: Core-ms of those that were answered whole.
         served: How many were answered whole, late ones included.
         of_use: How many were answered within three times their objective.
         refused: How many were refused as not run.
@@ -93,6 +106,8 @@
     asked: float = 0.0
     earned: float = 0.0
     jobs: int = 0
+    in_time: int = 0
+    work: float = 0.0
     served: int = 0
     of_use: int = 0
     refused: int = 0
@@ -117,6 +132,9 @@
         workers: How many workers there are.
         away: From when to when nobody dispatches, in seconds; what comes
             meanwhile is handed over at its end.
+        limits: Figures of the deployment.
+        is_paired: Whether each kind draws from a generator of its own, so
+            that a burst of one kind leaves the others' jobs as they are.
     """
 
     def __init__(
@@ -128,8 +146,14 @@
         kinds: tuple[Kind, ...] = KINDS,
         workers: int = 24,
         away: tuple[float, float] | None = None,
+        limits: dispatching.DispatchLimits | None = None,
+        is_paired: bool = False,
     ) -> None:
-        self._rng = random.Random(seed)
+        rng = random.Random(seed)
+        self._rng_by_kind = {
+            kind: random.Random(f'{seed} {number}') if is_paired else rng
+            for number, kind in enumerate(kinds)
+        }
         self._load_at = load_at or (lambda _: load)
         self._seconds = seconds
         self._kinds = kinds
@@ -139,7 +163,7 @@
         self._numbers = itertools.count()
         self.now = 0.0
         self.dispatcher = dispatching.JobDispatcher(
-            dispatching.DispatchLimits()
+            limits or dispatching.DispatchLimits()
         )
         self.jobs: dict[str, _Job] = {}
         self._pace: dict[str, float] = {}
@@ -162,36 +186,40 @@
         while self._events:
             self.now, _, what, arguments = heapq.heappop(self._events)
             what(*arguments)
-        return self._tallies()
+        return self.tallies()
 
     def _at(self, when: float, what, *arguments) -> None:
         entry = (when, next(self._numbers), what, arguments)
         heapq.heappush(self._events, entry)
 
     def _gap(self, kind: Kind, now: float) -> float:
-        rate = kind.per_s * self._load_at(now / 1000.0) * self._workers / 24
-        return now + self._rng.expovariate(rate) * 1000.0
+        load = self._load_at(now / 1000.0) * kind.load_at(now / 1000.0)
+        rate = kind.per_s * load * self._workers / 24
+        gap_s = self._rng_by_kind[kind].expovariate(rate)
+        return now + gap_s * 1000.0
 
-    def _spread(self, mean: float, spread: float) -> float:
-        return mean * math.exp(self._rng.gauss(-spread * spread / 2, spread))
+    def _spread(self, kind: Kind, mean: float, spread: float) -> float:
+        drawn = self._rng_by_kind[kind].gauss(-spread * spread / 2, spread)
+        return mean * math.exp(drawn)
 
     def _arrive(self, kind: Kind) -> None:
         if self.now < self._seconds * 1000.0:
             self._at(self._gap(kind, self.now), self._arrive, kind)
         else:
             return
-        run_ms = self._spread(kind.run_ms, 0.4)
-        tasks = max(1, round(self._spread(kind.tasks, 0.4)))
-        cores = min(41.0, self._spread(CORES, 0.2))
+        run_ms = self._spread(kind, kind.run_ms, 0.4)
+        tasks = max(1, round(self._spread(kind, kind.tasks, 0.4)))
+        cores = min(41.0, self._spread(kind, CORES, 0.2))
         job = case.make_job(
             f'{next(self._numbers):016x}',
             tasks,
             cores,
-            max(1.0, self._spread(run_ms, 0.4)),
+            max(1.0, self._spread(kind, run_ms, 0.4)),
             queue=kind.queue,
+            rack=kind.rack,
             terms=kind.terms,
         )
-        runs = [self._spread(run_ms, 0.15) for _ in range(tasks)]
+        runs = [self._spread(kind, run_ms, 0.15) for _ in range(tasks)]
         mean_work = kind.tasks * kind.run_ms * CORES
         worth = (
             min(4.0, 0.3 + 0.7 * sum(runs) * cores / mean_work) * kind.worth
@@ -209,7 +237,10 @@
     def _hand(self, job: _Job) -> None:
         age_ms = self.now - job.arrived
         message = model.JobSubmitted(
-            job.job, age_ms, job.kind.deadline_ms - age_ms
+            job.job,
+            age_ms,
+            job.kind.deadline_ms - age_ms,
+            home_domain=job.kind.home_domain,
         )
         self._do(self.dispatcher.submit(case.HOME, message, self.now))
 
@@ -286,10 +317,15 @@
         # The next hold call is sent at once.
         self.dispatcher.held(worker, self.now)
 
-    def _tallies(self) -> dict[str, Tally]:
-        tallies = {kind.queue: Tally() for kind in self._kinds}
+    def tallies(
+        self, since_s: float = 0.0, until_s: float = math.inf
+    ) -> dict[str, Tally]:
+        """Returns what jobs got that came within a time, by group."""
+        tallies = {kind.group: Tally() for kind in self._kinds}
         for job in self.jobs.values():
-            tally = tallies[job.kind.queue]
+            if not since_s * 1000.0 <= job.arrived < until_s * 1000.0:
+                continue
+            tally = tallies[job.kind.group]
             tally.jobs += 1
             tally.asked += job.worth
             took = job.ended - job.arrived
@@ -300,6 +336,8 @@
                     tally.held += job.worth
             if job.end is not model.JobEnd.COMPLETED:
                 continue
+            tally.in_time += took <= job.objective_ms
+            tally.work += sum(job.run_ms_by_task) * job.job.needs.cores
             tally.served += took <= job.kind.deadline_ms
             tally.of_use += took <= _LATE_FACTOR * job.objective_ms
             if took <= job.objective_ms:
