--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -31,11 +31,11 @@
 from rosemaryroad.dispatching._scheduling import SchedulingPolicy
 from rosemaryroad.dispatching._scheduling import SharingKey
 from rosemaryroad.dispatching._scheduling import SharingPolicy
+from rosemaryroad.dispatching._sharing import KeyShare
 from rosemaryroad.dispatching._view import DecisionCounts
 from rosemaryroad.dispatching._view import QueueView
 from rosemaryroad.dispatching._view import RefusalCause
 from rosemaryroad.dispatching._view import SchedulingView
-from rosemaryroad.dispatching._view import ShareRow
 from rosemaryroad.dispatching._view import ShareView
 
 __all__ = [
@@ -51,6 +51,7 @@
     'DrainChange',
     'FirstDivision',
     'JobDispatcher',
+    'KeyShare',
     'Leadership',
     'LeaseRow',
     'LookAt',
@@ -65,7 +66,6 @@
     'Role',
     'SchedulingPolicy',
     'SchedulingView',
-    'ShareRow',
     'ShareView',
     'SharingKey',
     'SharingPolicy',
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -126,13 +126,14 @@
         self.led_since = -math.inf
         self.silence_ms = silence_ms
         self.run_times = _run_times.RunTimes()
-        self.forecast = _forecast.Forecast(
-            limits.scheduling.admission.forecast
-        )
+        scheduling = limits.scheduling
+        self.forecast = _forecast.Forecast(scheduling.admission.forecast)
         self.refusals = _refusals.RecentRefusals()
         self.next_review_at = -math.inf
-        self.shares = _sharing.Shares()
-        self.waiting = _waiting.WaitingJobs(self.run_times)
+        self.shares = _sharing.Shares(scheduling.sharing)
+        self.waiting = _waiting.WaitingJobs(
+            self.run_times, scheduling.priorities, self.shares
+        )
         self.jobs_by_id: dict[str, _state.JobState] = {}
         self.workers_by_id: dict[str, _state.WorkerState] = {}
         self.orders_by_task: dict[model.TaskId, dict[str, _state.Order]] = {}
--- a/rosemaryroad/dispatching/_view.py
+++ b/rosemaryroad/dispatching/_view.py
@@ -28,23 +28,6 @@
     NO_ROOM_IN_TIME = 'no_room_in_time'
 
 
-@attrs.frozen
-class ShareRow:
-    """The standing of a key that room is shared between.
-
-    Attributes:
-        name: The key, such as the name of a queue.
-        weight: Its weight.
-        share: Its share of the cell's cores, from 0 to 1.
-        is_over: Whether it is further ahead of its share than it may be.
-    """
-
-    name: str
-    weight: float
-    share: float
-    is_over: bool
-
-
 @attrs.define
 class QueueView:
     """What one queue has and lacks.
--- a/rosemaryroad/dispatching/_viewing.py
+++ b/rosemaryroad/dispatching/_viewing.py
@@ -1,20 +1,11 @@
 """Puts together what operators are shown of a dispatcher's room."""
 
-import collections.abc
-
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _scheduling
+from rosemaryroad.dispatching import _sharing
 from rosemaryroad.dispatching import _state
 from rosemaryroad.dispatching import _view
 
-_Key = collections.abc.Callable[[_state.JobState], str]
-
-_KEY_BY_SHARING: dict[_scheduling.SharingKey, _Key] = {
-    _scheduling.SharingKey.QUEUE: lambda state: state.job.queue,
-    _scheduling.SharingKey.FAILURE_DOMAIN: lambda state: state.home_domain,
-    _scheduling.SharingKey.RACK: lambda state: state.job.rack,
-}
-
 
 def measure(context: _context.Context, now: float) -> _view.SchedulingView:
     """Returns what a dispatcher does with its room."""
@@ -46,7 +37,7 @@
     view.sharing = context.limits.scheduling.sharing.key
     if view.sharing is _scheduling.SharingKey.NONE:
         return
-    for row in context.shares.rows(now):
+    for row in context.shares.rows():
         view.share_by_name[row.name] = _view.ShareView(
             weight=row.weight, share=row.share, is_over=row.is_over
         )
@@ -71,7 +62,7 @@
     view.queue(order.job.job.queue).cores += order.needs.cores
     if view.sharing is _scheduling.SharingKey.NONE:
         return
-    name = _KEY_BY_SHARING[view.sharing](order.job)
+    name = _sharing.NAME_BY_KEY[view.sharing](order.job)
     share = view.share_by_name.get(name)
     if share is None:
         # Its account may be empty while its last tasks still run.
--- a/tests/dispatching/test_admission.py
+++ b/tests/dispatching/test_admission.py
@@ -79,7 +79,7 @@
 
 
 _BURSTING = tuple(
-    attrs.evolve(kind, burst_at=_burst if kind.queue == 'checks' else None)
+    attrs.evolve(kind, load_at=_burst) if kind.queue == 'checks' else kind
     for kind in played_load.KINDS
 )
 
--- a/tests/dispatching/test_view.py
+++ b/tests/dispatching/test_view.py
@@ -110,7 +110,7 @@
 
     def test_the_standing_of_a_key(self) -> None:
         self._share_by(dispatching.SharingKey.RACK)
-        row = dispatching.ShareRow('r1', 3.0, 0.75, True)
+        row = dispatching.KeyShare('r1', 3.0, 0.75, 6.0, 0.0, True)
         self.dispatcher._context.shares = _Shares(row)
         view = self.dispatcher.view(self.now)
         share = dispatching.ShareView(3.0, 27.0, 0.75, True)
@@ -122,10 +122,10 @@
 
 
 class _Shares(_sharing.Shares):
-    def __init__(self, *rows: dispatching.ShareRow) -> None:
+    def __init__(self, *rows: dispatching.KeyShare) -> None:
         self._rows = rows
 
-    def rows(self, now: float) -> tuple[dispatching.ShareRow, ...]:
+    def rows(self) -> tuple[dispatching.KeyShare, ...]:
         return self._rows
 
 
