Stop running tasks for more urgent jobs

Cause: a running task was never stopped for a more urgent job. Where long tasks fill the workers, room comes free too slowly for a burst of urgent jobs.

Change: with scheduling.priorities.preempt, tasks that have just begun are stopped where an urgent job would miss its objective and the stopped one can run again in time. Stops go through Context.stop, so the task waits again only when a report shows the attempt gone; it counts as no failure and teaches no run time. The freed room is promised to the urgent job at the moment it comes free, and goes back to the stopped job after one task. Each stop is logged as task_preempted and counted by queue.

Tests: PlayedService may answer a stop that a higher fence bars as the platform's workers do. Its older lists keep the answer "done", which doubled a task in a drawn play, with preemption and without.

--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -1,5 +1,6 @@
 """The dispatcher's state, and the changes that keep it consistent."""
 
+import collections
 import itertools
 import math
 
@@ -69,10 +70,13 @@
     Attributes:
         jobs_by_id: Jobs of which a task has come to wait.
         workers_by_id: Workers that may have more room, or be trusted again.
+        promised_rooms: Room that preemption has freed, or that is given back
+            after it.
     """
 
     jobs_by_id: dict[str, _state.JobState] = attrs.field(factory=dict)
     workers_by_id: dict[str, _state.WorkerState] = attrs.field(factory=dict)
+    promised_rooms: list[_state.PromisedRoom] = attrs.field(factory=list)
 
 
 class Context:
@@ -104,6 +108,8 @@
         acked_sent_at_by_home: When the newest message that a home has
             answered was sent.
         drained_domains: Failure domains whose workers get no new tasks.
+        preemptions_by_queue: How many running tasks of each queue were
+            stopped for more urgent jobs.
     """
 
     def __init__(
@@ -129,6 +135,9 @@
         self.probe_by_number: dict[int, _state.Probe] = {}
         self.acked_sent_at_by_home: dict[str, float] = {}
         self.drained_domains: frozenset[str] = frozenset()
+        self.preemptions_by_queue: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._numbers = itertools.count(1)
         self._changes = Changes()
         self._actions: list[_actions.Action] = []
@@ -217,6 +226,7 @@
         if order.may_begin_late and worker.worker.born is not None:
             worker.late_orders.append(attrs.evolve(order, job=None))
         self.worker_changed(worker)
+        self._promise_room(worker, order)
         by_worker = self.orders_by_task.get(order.task, {})
         if by_worker.get(worker.worker.id) is order:
             del by_worker[worker.worker.id]
@@ -228,6 +238,16 @@
             # The task may have waited for the end of this very attempt.
             self._changes.jobs_by_id[state.job.id] = state
 
+    def _promise_room(
+        self, worker: _state.WorkerState, order: _state.Order
+    ) -> None:
+        job, lender = order.preempted_for, order.job
+        if job is None:
+            job, lender = order.room_lender, None
+        if job is not None:
+            room = _state.PromisedRoom(worker.worker.id, job, lender)
+            self._changes.promised_rooms.append(room)
+
     def stop(
         self,
         worker: _state.WorkerState,
--- a/rosemaryroad/dispatching/_placement.py
+++ b/rosemaryroad/dispatching/_placement.py
@@ -119,8 +119,13 @@
         return pace, worker.free_cores, number, worker.worker.id, worker
 
     def _has_enough(self, worker: _state.WorkerState) -> bool:
-        most = self._job.max_per_worker
-        return bool(most) and _tasks_of(worker, self._job) >= most
+        return has_enough(worker, self._job)
+
+
+def has_enough(worker: _state.WorkerState, job: model.Job) -> bool:
+    """Tells whether a worker may get no further task of a job."""
+    most = job.max_per_worker
+    return bool(most) and _tasks_of(worker, job) >= most
 
 
 def spared_workers(
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -42,7 +42,7 @@
 
 def fill(context: _context.Context, now: float) -> None:
     """Starts waiting tasks for as long as there is room."""
-    context.take_changes()
+    _fill_promised(context, context.take_changes().promised_rooms, now)
     pool = _usable(context, context.workers_by_id.values(), now)
     most = _most_free(pool)
     has_recorded = _has_recorded_job(context)
@@ -67,6 +67,7 @@
     large deployment's workers takes more processor time than there is.
     """
     changes = context.take_changes()
+    _fill_promised(context, changes.promised_rooms, now)
     if context.expecting:
         # A report may free jobs that wait for it.
         fill(context, now)
@@ -92,6 +93,43 @@
         most = _most_free(pool)
 
 
+def _fill_promised(
+    context: _context.Context,
+    rooms: collections.abc.Iterable[_state.PromisedRoom],
+    now: float,
+) -> None:
+    """Starts tasks in the room that was promised to their jobs.
+
+    In the order of the queue, another job's task could take room that was
+    freed by stopping a third one's.
+    """
+    for room in rooms:
+        worker = context.workers_by_id.get(room.worker)
+        if worker is None:
+            continue
+        started = _fill_worker(context, room.job, worker, now)
+        for order in started:
+            order.room_lender = room.lender
+        if not started and room.lender is not None:
+            # The job has found room elsewhere, or is over.
+            _fill_worker(context, room.lender, worker, now)
+
+
+def _fill_worker(
+    context: _context.Context,
+    state: _state.JobState,
+    worker: _state.WorkerState,
+    now: float,
+) -> list[_state.Order]:
+    """Starts a job's tasks at one worker; returns their attempts."""
+    if not _is_waiting(state):
+        return []
+    before = set(worker.orders_by_key)
+    _fill_job(context, state, _usable(context, [worker], now), now)
+    after = worker.orders_by_key
+    return [after[key] for key in after.keys() - before]
+
+
 def _is_waiting(state: _state.JobState) -> bool:
     return bool(state.waiting) and not state.is_over and not state.unseen
 
@@ -125,6 +163,13 @@
     ]
 
 
+def usable_workers(
+    context: _context.Context, now: float
+) -> list[_state.WorkerState]:
+    """Returns the workers that may get tasks now, room aside."""
+    return _usable(context, context.workers_by_id.values(), now)
+
+
 def _most_free(pool: collections.abc.Iterable[_state.WorkerState]) -> float:
     return max((worker.free_cores for worker in pool), default=0.0)
 
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -72,6 +72,8 @@
         may_lack_end: Whether it may have ended without a word.
         may_begin_late: Whether its start has got no answer and may still
             be under way.
+        preempted_for: The more urgent job for which it is being stopped.
+        room_lender: The preempted job whose room it has, or None.
     """
 
     task: model.TaskId
@@ -95,6 +97,8 @@
     is_older: bool = False
     may_lack_end: bool = False
     may_begin_late: bool = True
+    preempted_for: 'JobState | None' = None
+    room_lender: 'JobState | None' = None
 
     def told(self, worker_clock: float, now: float) -> None:
         """Notes that the worker has just told of it."""
@@ -178,6 +182,7 @@
         waiting: How many tasks wait.
         left: How many tasks have not ended well.
         home_domain: The failure domain of the home that handed it over.
+        was_preempted: Whether a task of it was stopped for a more urgent job.
     """
 
     job: model.Job
@@ -205,6 +210,7 @@
     waiting: int = 0
     left: int = 0
     home_domain: str = ''
+    was_preempted: bool = False
 
     @property
     def highest_attempt(self) -> int:
@@ -212,6 +218,22 @@
         return max(task.attempt for task in self.tasks)
 
 
+@attrs.frozen(eq=False)
+class PromisedRoom:
+    """Room that has come free and that one job gets before all others.
+
+    Attributes:
+        worker: The worker's id.
+        job: The job.
+        lender: The preempted job that gets the room back after one task, or
+            None.
+    """
+
+    worker: str
+    job: JobState
+    lender: JobState | None = None
+
+
 @attrs.define(eq=False)
 class PendingRecord:
     """A message that homes have yet to record, and what waits for that.
--- a/rosemaryroad/explain.py
+++ b/rosemaryroad/explain.py
@@ -1,5 +1,7 @@
 """What happened to one job, from the log lines of all entry VMs."""
 
+import re
+
 import attrs
 
 from rosemaryroad import logreader
@@ -38,6 +40,9 @@
     }
 )
 
+# Those that name the jobs that they are about in ``detail``.
+_OF_JOBS = frozenset({'task_preempted'})
+
 # Those that concern whatever the VM does.
 _OF_VMS = frozenset(
     {
@@ -71,6 +76,10 @@
 )
 
 
+# A job's id, also within a task's name.
+_WORD = re.compile(r'[^\s/,]+')
+
+
 @attrs.frozen
 class Entry:
     """One step of a job's story.
@@ -178,6 +187,7 @@
     """Returns the changes of belief that bear on a job."""
     workers = {line.fields.get('worker') for line in own} - {None}
     vms = {line.vm for line in own}
+    job = own[0].fields['request_id']
     begin = _time(own[0], offset_by_vm) - _BEFORE_MS
     end = _time(own[-1], offset_by_vm)
     found = []
@@ -189,6 +199,9 @@
         if line.event in _OF_WORKERS:
             if line.fields.get('subject') in workers:
                 found.append(line)
+        elif line.event in _OF_JOBS:
+            if job in _WORD.findall(line.fields.get('detail', '')):
+                found.append(line)
         elif line.event in _OF_VMS:
             about = line.fields.get('vm')
             if about is None or about in vms:
--- a/tests/dispatching/drawn_faults.py
+++ b/tests/dispatching/drawn_faults.py
@@ -33,9 +33,7 @@
         vms = draw.choice((2, 5))
         run_ms = draw.choice((900.0, 3_200.0))
         self._workers = draw.choice((3, 6))
-        self.service = played_service.PlayedService(
-            workers=self._workers, run_ms=run_ms, vms=vms
-        )
+        self.service = self._make_service(run_ms, vms)
         self._jobs = 0
         self._kills = 0
         self._cuts: list[tuple[set[str], set[str]]] = []
@@ -52,6 +50,13 @@
         service.heal()
         await service.run(3_000)
 
+    def _make_service(
+        self, run_ms: float, vms: int
+    ) -> played_service.PlayedService:
+        return played_service.PlayedService(
+            workers=self._workers, run_ms=run_ms, vms=vms
+        )
+
     def _names(self) -> list[str]:
         return sorted(self.service.vm_by_name)
 
--- a/tests/dispatching/drawn_plays.py
+++ b/tests/dispatching/drawn_plays.py
@@ -14,6 +14,7 @@
 from tests.dispatching import drawn_drains
 from tests.dispatching import drawn_faults
 from tests.dispatching import drawn_one_way
+from tests.dispatching import drawn_preemptions
 from tests.dispatching import played_service
 
 
@@ -23,12 +24,14 @@
     FAULTS = 'faults'
     ONE_WAY = 'one-way'
     DRAINS = 'drains'
+    PREEMPTIONS = 'preemptions'
 
 
 _PLAY_BY_LIST = {
     FaultList.FAULTS: drawn_faults.DrawnFaults,
     FaultList.ONE_WAY: drawn_one_way.OneWayFaults,
     FaultList.DRAINS: drawn_drains.DrawnDrains,
+    FaultList.PREEMPTIONS: drawn_preemptions.DrawnPreemptions,
 }
 
 
@@ -43,6 +46,7 @@
         repeated: Those that were started after they had ended well.
         drained_starts: Those that were started in a failure domain that was
             known to be drained.
+        preemptions: How many tasks were stopped for more urgent jobs.
     """
 
     seed: int
@@ -50,6 +54,7 @@
     doubled: tuple[played_service.Doubled, ...]
     repeated: tuple[model.TaskId, ...]
     drained_starts: tuple[played_service.DrainedStart, ...]
+    preemptions: int
 
     @property
     def is_broken(self) -> bool:
@@ -77,6 +82,7 @@
         tuple(service.doubled),
         tuple(service.repeated),
         tuple(service.drained_starts),
+        service.preemptions,
     )
 
 
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -64,7 +64,21 @@
 
 
 @attrs.define(eq=False)
-class _Job:
+class PlayedJob:
+    """One job, and what became of it.
+
+    Attributes:
+        kind: Its kind.
+        job: The job.
+        arrived: When it came.
+        objective_ms: Within how long an answer is in time.
+        worth: What such an answer is worth.
+        run_ms_by_task: How long each task takes.
+        ended: When it ended.
+        end: How.
+        was_preempted: Whether a task of it was stopped for a more urgent job.
+    """
+
     kind: Kind
     job: model.Job
     arrived: float
@@ -73,6 +87,15 @@
     run_ms_by_task: list[float]
     ended: float | None = None
     end: model.JobEnd | None = None
+    was_preempted: bool = False
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether it was answered whole within its objective."""
+        return (
+            self.end is model.JobEnd.COMPLETED
+            and self.ended - self.arrived <= self.objective_ms
+        )
 
 
 @attrs.define
@@ -84,6 +107,7 @@
         earned: Worth that was earned.
         jobs: How many jobs came.
         served: How many were answered whole, late ones included.
+        in_time: How many were answered within their objective.
         of_use: How many were answered within three times their objective.
         refused: How many were refused as not run.
         refused_late: Of these, after a quarter of their objective.
@@ -94,6 +118,7 @@
     earned: float = 0.0
     jobs: int = 0
     served: int = 0
+    in_time: int = 0
     of_use: int = 0
     refused: int = 0
     refused_late: int = 0
@@ -117,6 +142,9 @@
         workers: How many workers there are.
         away: From when to when nobody dispatches, in seconds; what comes
             meanwhile is handed over at its end.
+        load_at_by_queue: The same as ``load_at`` for single queues.
+        limits: Figures of the deployment.
+        stop_ms: How long a worker takes to stop a task.
     """
 
     def __init__(
@@ -128,9 +156,14 @@
         kinds: tuple[Kind, ...] = KINDS,
         workers: int = 24,
         away: tuple[float, float] | None = None,
+        load_at_by_queue=None,
+        limits: dispatching.DispatchLimits | None = None,
+        stop_ms: float = 0.0,
     ) -> None:
         self._rng = random.Random(seed)
         self._load_at = load_at or (lambda _: load)
+        self._load_at_by_queue = load_at_by_queue or {}
+        self._stop_ms = stop_ms
         self._seconds = seconds
         self._kinds = kinds
         self._workers = workers
@@ -139,9 +172,9 @@
         self._numbers = itertools.count()
         self.now = 0.0
         self.dispatcher = dispatching.JobDispatcher(
-            dispatching.DispatchLimits()
+            limits or dispatching.DispatchLimits()
         )
-        self.jobs: dict[str, _Job] = {}
+        self.jobs: dict[str, PlayedJob] = {}
         self._pace: dict[str, float] = {}
         self._running: dict[str, dict] = collections.defaultdict(dict)
         self._ends = collections.Counter()
@@ -169,7 +202,8 @@
         heapq.heappush(self._events, entry)
 
     def _gap(self, kind: Kind, now: float) -> float:
-        rate = kind.per_s * self._load_at(now / 1000.0) * self._workers / 24
+        load_at = self._load_at_by_queue.get(kind.queue, self._load_at)
+        rate = kind.per_s * load_at(now / 1000.0) * self._workers / 24
         return now + self._rng.expovariate(rate) * 1000.0
 
     def _spread(self, mean: float, spread: float) -> float:
@@ -197,7 +231,9 @@
             min(4.0, 0.3 + 0.7 * sum(runs) * cores / mean_work) * kind.worth
         )
         objective = 1.6 * max(runs) + 60.0
-        self.jobs[job.id] = _Job(kind, job, self.now, objective, worth, runs)
+        self.jobs[job.id] = PlayedJob(
+            kind, job, self.now, objective, worth, runs
+        )
         self._at(self._handed_at(), self._hand, self.jobs[job.id])
 
     def _handed_at(self) -> float:
@@ -206,7 +242,7 @@
         since, until = (1000.0 * second for second in self._away)
         return until if since <= self.now < until else self.now
 
-    def _hand(self, job: _Job) -> None:
+    def _hand(self, job: PlayedJob) -> None:
         age_ms = self.now - job.arrived
         message = model.JobSubmitted(
             job.job, age_ms, job.kind.deadline_ms - age_ms
@@ -229,6 +265,13 @@
                 self._at(self.now + 2 * _HOP_MS, self._report, action.worker)
             elif isinstance(action, dispatching.TellHome):
                 self._told(action.message)
+            elif isinstance(action, dispatching.Noted):
+                self._noted(action)
+
+    def _noted(self, action: dispatching.Noted) -> None:
+        if action.event == 'task_preempted':
+            stopped = action.detail.partition('/')[0]
+            self.jobs[stopped].was_preempted = True
 
     def _told(self, message) -> None:
         if isinstance(message, model.JobProgress) and message.number:
@@ -258,12 +301,22 @@
 
     def _stop(self, stop: dispatching.StopTask) -> None:
         key = (stop.task, stop.attempt)
-        gone = self._running[stop.worker].pop(key, None)
+        if self._stop_ms:
+            self._at(self.now + self._stop_ms, self._stopped, stop.worker, key)
+        else:
+            gone = self._running[stop.worker].pop(key, None)
         reply = model.OrderReply(model.OrderResult.DONE, self.now)
         self._do(self.dispatcher.stop_answered(stop, reply, self.now))
-        if gone is not None:
-            end = (key, model.TaskEnd.STOPPED)
-            self._at(self.now + _HOP_MS, self._report, stop.worker, (end,))
+        if not self._stop_ms and gone is not None:
+            self._tell_stopped(stop.worker, key)
+
+    def _stopped(self, worker: str, key) -> None:
+        if self._running[worker].pop(key, None) is not None:
+            self._tell_stopped(worker, key)
+
+    def _tell_stopped(self, worker: str, key) -> None:
+        end = (key, model.TaskEnd.STOPPED)
+        self._at(self.now + _HOP_MS, self._report, worker, (end,))
 
     def _end(self, worker: str, key) -> None:
         if self._running[worker].pop(key, None) is not None:
@@ -301,6 +354,7 @@
             if job.end is not model.JobEnd.COMPLETED:
                 continue
             tally.served += took <= job.kind.deadline_ms
+            tally.in_time += job.is_in_time
             tally.of_use += took <= _LATE_FACTOR * job.objective_ms
             if took <= job.objective_ms:
                 tally.earned += job.worth
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -82,7 +82,9 @@
 class _Run:
     starter: str
     since: float
+    run_ms: float
     until: float
+    stopped_at: float = math.inf
 
 
 class _Worker:
@@ -95,11 +97,17 @@
         done: What has ended well, in any of its lives.
     """
 
-    def __init__(self, worker: model.Worker, run_ms: float) -> None:
+    def __init__(
+        self,
+        worker: model.Worker,
+        run_ms: float,
+        run_ms_by_job: dict[str, float],
+    ) -> None:
         self.done: set[model.TaskId] = set()
         self.born = _FIRST_BORN_MS
         self.listed = attrs.evolve(worker, born=self.born)
         self._run_ms = run_ms
+        self._run_ms_by_job = run_ms_by_job
         self._clock_from = 0.0
         self._begin()
 
@@ -125,8 +133,10 @@
     def settle(self, now: float) -> None:
         """Ends what has run its time, or whose lease has lapsed."""
         for key, run in list(self.runs.items()):
-            if run.until <= min(now, self._lease_end):
+            if run.until <= min(now, self._lease_end, run.stopped_at):
                 self._end(key, model.TaskEnd.DONE)
+            elif run.stopped_at <= now:
+                self._end(key, model.TaskEnd.STOPPED)
             elif self._lease_end <= now:
                 self._end(key, model.TaskEnd.LAPSED)
 
@@ -150,18 +160,33 @@
         self._highest[order.task] = order.attempt
         until = min(self._clock_from + lease_end, now + _LEASE_MS)
         self._lease_end = max(self._lease_end, until)
-        self.runs[key] = _Run(starter, now, now + self._run_ms)
+        run_ms = self._run_ms_by_job.get(order.task.job, self._run_ms)
+        self.runs[key] = _Run(starter, now, run_ms, now + run_ms)
         return model.OrderResult.DONE
 
-    def stop(self, order: dispatching.StopTask, fence: int) -> None:
-        """Carries out an order to stop."""
+    def stop(
+        self,
+        order: dispatching.StopTask,
+        fence: int,
+        now: float,
+        stop_ms: float,
+    ) -> bool:
+        """Carries out an order to stop; what is stopped runs on so long.
+
+        Returns:
+            Whether the fence is high enough.
+        """
         if fence < self._fence:
-            return
+            return False
         known = self._highest.get(order.task, 0)
         self._highest[order.task] = max(known, order.attempt)
         key = (order.task, order.attempt)
-        if key in self.runs:
+        if key in self.runs and stop_ms:
+            run = self.runs[key]
+            run.stopped_at = min(run.stopped_at, now + stop_ms)
+        elif key in self.runs:
             self._end(key, model.TaskEnd.STOPPED)
+        return True
 
     def hold(
         self, fence: int, acknowledged: int, lease_ms: float, now: float
@@ -184,7 +209,7 @@
         """Tells what runs, and what has ended."""
         running = tuple(
             model.RunningTask(
-                *key, min(99.0, 100.0 * (now - run.since) / self._run_ms)
+                *key, min(99.0, 100.0 * (now - run.since) / run.run_ms)
             )
             for key, run in self.runs.items()
         )
@@ -247,12 +272,19 @@
         drained_starts: Tasks that were started in a drained failure domain
             later than a VM that is in touch has to know of the drain.
         starts: How many tasks were started.
+        preemptions: How many tasks were stopped for more urgent jobs.
 
     Args:
         domains: How many failure domains there are.
         workers: How many workers each of them has.
         run_ms: How long a task takes.
         vms: How many entry VMs each domain has.
+        limits: Figures of the deployment.
+        stop_ms: How long a worker takes to stop a task.
+        tells_fenced_stops: Whether a worker that has seen a higher fence
+            says so to an order to stop, as the platform's workers do. The
+            older lists of drawn faults are played with workers that answer as
+            if they had stopped the attempt.
     """
 
     def __init__(
@@ -261,17 +293,26 @@
         workers: int = 4,
         run_ms: float = 900.0,
         vms: int = 2,
+        limits: dispatching.DispatchLimits = _LIMITS,
+        stop_ms: float = 0.0,
+        tells_fenced_stops: bool = False,
     ) -> None:
         self.clock = clock_module.ManualClock(100_000.0)
         self.doubled: list[Doubled] = []
         self.repeated: list[model.TaskId] = []
         self.drained_starts: list[DrainedStart] = []
         self.starts = 0
+        self.preemptions = 0
+        self._limits = limits
+        self._stop_ms = stop_ms
+        self._tells_fenced_stops = tells_fenced_stops
         self._events: list = []
         self._numbers = itertools.count()
         self._blocked: set[tuple[str, str]] = set()
         self._deaf: set[str] = set()
         self._delay_by_worker: dict[str, float] = {}
+        self._stop_delay_by_worker: dict[str, float] = {}
+        self._run_ms_by_job: dict[str, float] = {}
         self._row = dispatching.LeaseRow(0, '')
         self._drains = model.DomainDrains(1)
         self._drained_at_by_domain: dict[str, float] = {}
@@ -285,7 +326,9 @@
                     case.make_worker(f'{letter}-w{number}'),
                     failure_domain=letter,
                 )
-                self.worker_by_id[worker.id] = _Worker(worker, run_ms)
+                self.worker_by_id[worker.id] = _Worker(
+                    worker, run_ms, self._run_ms_by_job
+                )
             for number in range(1, vms + 1):
                 self._add_vm(f'{letter}{number}')
         known = dict.fromkeys(self.vm_by_name, 1.0)
@@ -350,6 +393,13 @@
         """Has starts reach some workers late; they stay unanswered."""
         self._delay_by_worker |= dict.fromkeys(workers, ms)
 
+    def delay_stops(self, workers: set[str], ms: float) -> None:
+        """Has stops reach some workers late, or never where it is infinite.
+
+        They stay unanswered; starts are carried out as usual.
+        """
+        self._stop_delay_by_worker |= dict.fromkeys(workers, ms)
+
     def drain(self, domains: set[str]) -> None:
         """Has operators drain some failure domains, and no others."""
         known = self._drained_at_by_domain
@@ -387,6 +437,7 @@
         self._blocked.clear()
         self._deaf.clear()
         self._delay_by_worker.clear()
+        self._stop_delay_by_worker.clear()
 
     def freeze(self, vm: str, ms: float) -> None:
         """Stops a VM for a while; what reaches it meanwhile waits."""
@@ -403,9 +454,27 @@
 
     # Clients.
 
-    def submit(self, vm: str, job_id: str, left_ms: float = 6_000.0) -> None:
-        """Hands a job of two tasks in, or the same one again."""
-        job = case.make_job(job_id, tasks=2, cores=20.0, estimate_ms=900.0)
+    def submit(
+        self,
+        vm: str,
+        job_id: str,
+        left_ms: float = 6_000.0,
+        run_ms: float | None = None,
+        **fields,
+    ) -> None:
+        """Hands a job of two tasks in, or the same one again.
+
+        Args:
+            vm: The home.
+            job_id: The job's id.
+            left_ms: When its client stops waiting.
+            run_ms: How long its tasks take, if not as long as usual.
+            **fields: Fields of the job that differ from the usual ones.
+        """
+        usual = {'tasks': 2, 'cores': 20.0, 'estimate_ms': 900.0}
+        job = case.make_job(job_id, **(usual | fields))
+        if run_ms is not None:
+            self._run_ms_by_job[job_id] = run_ms
         home = self.vm_by_name[vm].home
         # The service's own clock ends jobs, not the loop's.
         task = asyncio.ensure_future(home.submit(job, _LONG_MS))
@@ -545,7 +614,7 @@
         acts = role.claim is not model.Claim.NONE
         if acts and vm.dispatcher is None:
             vm.dispatcher = dispatching.JobDispatcher(
-                _LIMITS,
+                self._limits,
                 role.claim is model.Claim.DEPUTY,
                 vm.leadership.pace.silent_ms,
             )
@@ -727,6 +796,8 @@
                 self._stop(vm, action)
             elif isinstance(action, dispatching.LookAt):
                 self._ask(vm, action.worker)
+            elif isinstance(action, dispatching.Noted):
+                self.preemptions += action.event == 'task_preempted'
 
     def _start(self, vm: _Vm, order: dispatching.StartTask) -> None:
         dispatcher = vm.dispatcher
@@ -772,8 +843,9 @@
             self.repeated.append(order.task)
         for worker_id, worker in self.worker_by_id.items():
             worker.settle(self.now)
-            for (task, _), run in worker.runs.items():
-                if task == order.task and worker_id != order.worker:
+            for (task, attempt), run in worker.runs.items():
+                present = (order.worker, order.attempt)
+                if task == order.task and (worker_id, attempt) != present:
                     self.doubled.append(
                         Doubled(
                             self.now,
@@ -785,13 +857,26 @@
 
     def _stop(self, vm: _Vm, order: dispatching.StopTask) -> None:
         result = model.OrderResult.UNKNOWN
+        delay_ms = self._stop_delay_by_worker.get(order.worker)
         if self._takes_order(vm, order.worker):
-            worker = self.worker_by_id[order.worker]
-            worker.settle(self.now)
-            worker.stop(order, vm.leadership.fence)
-            result = model.OrderResult.DONE
+            fence = vm.leadership.fence
+            if delay_ms is None:
+                result = self._stop_at_worker(order, fence)
+            elif not math.isinf(delay_ms):
+                when = self.now + delay_ms
+                self._at(when, self._stop_at_worker, order, fence)
         self._answer(vm, vm.dispatcher, order, result)
 
+    def _stop_at_worker(
+        self, order: dispatching.StopTask, fence: int
+    ) -> model.OrderResult:
+        worker = self.worker_by_id[order.worker]
+        worker.settle(self.now)
+        is_done = worker.stop(order, fence, self.now, self._stop_ms)
+        if is_done or not self._tells_fenced_stops:
+            return model.OrderResult.DONE
+        return model.OrderResult.FENCED
+
     def _answer(self, vm: _Vm, dispatcher, order, result) -> None:
         if not self._reaches(order.worker, vm.name):
             result = model.OrderResult.UNKNOWN
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -117,6 +117,34 @@
         )
         self.assertEqual('job_settled', found.first_fault.event)
 
+    def test_a_preemption_is_told_for_both_jobs(self) -> None:
+        """A task is stopped and nothing failed: its owner asks who came first.
+
+        Preemptions for and of others at the same worker don't belong there.
+        """
+        lines = _whole()
+        for number, (stopped, urgent) in enumerate(
+            ((f'{_JOB}/0', 'urgent'), ('long/1', _JOB), ('long/2', 'urgent'))
+        ):
+            lines.append(
+                log_lines.line(
+                    1.1 + number / 100,
+                    'e2',
+                    'task_preempted',
+                    subject='w1',
+                    detail=f'{stopped} attempt 1 at 3 % after 30 of 900 ms,'
+                    f' for job {urgent}',
+                )
+            )
+        found = [
+            entry.detail
+            for entry in self._explain(lines).entries
+            if entry.event == 'task_preempted'
+        ]
+        self.assertEqual(2, len(found))
+        self.assertIn(f'{_JOB}/0 attempt 1 at 3 %', found[0])
+        self.assertIn(f'for job {_JOB}', found[1])
+
     def test_a_home_that_died_leaves_no_end(self) -> None:
         found = self._explain(_whole()[:3])
         self.assertIn('no end is logged', found.outcome)
