Tell a long job from a slow worker, and spare fast workers short tasks

Paces were learnt from the same jobs. Tasks went to the fastest workers first, so that short ones filled these and long ones ended late on slow workers.

Change: with scheduling.paces.compare_siblings a worker's pace is learnt from the difference to the job's other tasks, starts as that of its kind, and a slow task marks its worker only where the job's other tasks, whose workers are asked, or a task of another job say so. With scheduling.placement.rule expected_end the slowest and tightest worker comes first on which a task ends in time. Run times have a spread by queue.

The played load may have outliers among jobs, faulty workers, other sizes and limits.

--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -8,6 +8,7 @@
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _forecast
+from rosemaryroad.dispatching import _paces
 from rosemaryroad.dispatching import _run_times
 from rosemaryroad.dispatching import _scheduling
 from rosemaryroad.dispatching import _sharing
@@ -104,6 +105,8 @@
         acked_sent_at_by_home: When the newest message that a home has
             answered was sent.
         drained_domains: Failure domains whose workers get no new tasks.
+        suspicion_by_key: Tasks that seem slow while it isn't known whether
+            the job's others are, too, by task and attempt.
     """
 
     def __init__(
@@ -117,7 +120,7 @@
         self.followed_until = -math.inf
         self.led_since = -math.inf
         self.silence_ms = silence_ms
-        self.run_times = _run_times.RunTimes()
+        self.run_times = _make_run_times(limits.scheduling.paces)
         self.forecast = _forecast.Forecast()
         self.shares = _sharing.Shares()
         self.waiting = _waiting.WaitingJobs(self.run_times)
@@ -129,6 +132,9 @@
         self.probe_by_number: dict[int, _state.Probe] = {}
         self.acked_sent_at_by_home: dict[str, float] = {}
         self.drained_domains: frozenset[str] = frozenset()
+        self.suspicion_by_key: dict[
+            tuple[model.TaskId, int], _state.Suspicion
+        ] = {}
         self._numbers = itertools.count(1)
         self._changes = Changes()
         self._actions: list[_actions.Action] = []
@@ -404,3 +410,9 @@
                 news.updated_at,
             )
         return [_actions.TellHome(vm, message) for vm in state.homes]
+
+
+def _make_run_times(paces: _scheduling.PacePolicy) -> _run_times.RunTimes:
+    if paces.compare_siblings:
+        return _paces.ComparedRunTimes()
+    return _run_times.RunTimes()
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -208,6 +208,9 @@
             if key not in listed and state.listed:
                 state.listed = False
                 context.note('worker_unlisted', key, 'entry gone')
+        context.run_times.workers_known(
+            state.worker for state in context.workers_by_id.values()
+        )
         self._drop_unlisted()
         _queue.fill(context, now)
         return context.take_actions()
--- a/rosemaryroad/dispatching/_ends.py
+++ b/rosemaryroad/dispatching/_ends.py
@@ -2,6 +2,7 @@
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _context
+from rosemaryroad.dispatching import _learning
 from rosemaryroad.dispatching import _state
 
 
@@ -20,13 +21,7 @@
         return
     if end is model.TaskEnd.DONE:
         if not order.adopted and order.at >= worker.warms_up_until:
-            job = state.job
-            context.run_times.record(
-                job.queue,
-                job.estimate_ms,
-                worker.worker.id,
-                now - order.at,
-            )
+            _learning.task_ended(context, worker, order, now)
         context.praise(worker)
         worker.proved_at = now
         task_done(context, state, order.task.index, now)
--- a/rosemaryroad/dispatching/_placement.py
+++ b/rosemaryroad/dispatching/_placement.py
@@ -4,20 +4,9 @@
 import heapq
 
 from rosemaryroad import model
-from rosemaryroad.dispatching import _run_times
+from rosemaryroad.dispatching import _ranking
 from rosemaryroad.dispatching import _state
 
-# Paces closer than this are within what a few tasks teach; among them the
-# worker with the least room to spare comes first, so that large tasks find
-# room elsewhere.
-_PACE_STEP = 0.15
-
-# A worker of another failure domain than the job's home counts as so much
-# slower. After a cut between the two, whoever dispatches for the home finds no
-# task there, and starts it again once its lease has lapsed: too late for a
-# short one. The next dispatcher takes over what runs in the home's own domain.
-_OTHER_DOMAIN_COST = 0.5
-
 
 def may_run(worker: _state.WorkerState, job: model.Job, now: float) -> bool:
     """Tells whether a worker may get tasks of a job at all, room aside.
@@ -52,26 +41,19 @@
     Args:
         workers: Those that may be used now.
         job: The job.
-        run_times: The workers' paces.
-        remote_factor: How many times as long a task takes away from the
-            rack where its data is.
+        rank: Ranks the workers.
         now: The present time.
-        home_domain: The failure domain of the job's home, or ''.
     """
 
     def __init__(
         self,
         workers: collections.abc.Iterable[_state.WorkerState],
         job: model.Job,
-        run_times: _run_times.RunTimes,
-        remote_factor: float,
+        rank: _ranking.Rank,
         now: float,
-        home_domain: str = '',
     ) -> None:
         self._job = job
-        self._home_domain = home_domain
-        self._run_times = run_times
-        self._remote_factor = remote_factor
+        self._rank = rank
         self._ranked = [
             self._entry(number, worker)
             for number, worker in enumerate(workers)
@@ -109,14 +91,8 @@
     def _entry(
         self, number: int, worker: _state.WorkerState
     ) -> tuple[int, float, int, str, _state.WorkerState]:
-        job = self._job
-        factor = self._run_times.slowness(worker.worker.id)
-        if job.rack and job.rack not in worker.worker.labels:
-            factor *= self._remote_factor
-        if self._home_domain not in ('', worker.worker.failure_domain):
-            factor += _OTHER_DOMAIN_COST
-        pace = round(factor / _PACE_STEP)
-        return pace, worker.free_cores, number, worker.worker.id, worker
+        rank = self._rank(worker)
+        return rank, worker.free_cores, number, worker.worker.id, worker
 
     def _has_enough(self, worker: _state.WorkerState) -> bool:
         most = self._job.max_per_worker
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -8,6 +8,7 @@
 from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _load
 from rosemaryroad.dispatching import _placement
+from rosemaryroad.dispatching import _ranking
 from rosemaryroad.dispatching import _recording
 from rosemaryroad.dispatching import _state
 
@@ -205,10 +206,8 @@
     candidates = _placement.Candidates(
         pool,
         state.job,
-        context.run_times,
-        context.limits.remote_factor,
+        _ranking.make_rank(context, state, now),
         now,
-        state.home_domain,
     )
     for task in state.tasks:
         if task.phase is not _state.Phase.WAITING:
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -6,6 +6,7 @@
 from rosemaryroad.dispatching import _ends
 from rosemaryroad.dispatching import _lives
 from rosemaryroad.dispatching import _recording
+from rosemaryroad.dispatching import _siblings
 from rosemaryroad.dispatching import _state
 
 # A task whose progress has not moved for this share of its expected time
@@ -70,6 +71,8 @@
         if key not in running and key not in ended:
             _take_absence(context, worker, order, report, now)
     _bar_late_starts(context, worker, report, now)
+    if context.suspicion_by_key:
+        _siblings.told(context, worker, now)
     if report.asked_at >= context.led_since:
         worker.is_surveyed = True
 
@@ -294,6 +297,9 @@
         return
     if order.adopted or order.at < worker.warms_up_until:
         return
+    if context.limits.scheduling.paces.compare_siblings:
+        _siblings.judge(context, worker, order, now)
+        return
     early = elapsed < max(_SLOW_AFTER_MS, _SLOW_AFTER_SHARE * expected)
     if early or order.percent <= 0:
         return
@@ -334,7 +340,10 @@
     share = _LOOK_FACTOR * context.run_times.slowness(worker.worker.id)
     if now - worker.proved_at > _UNPROVED_MS:
         share = _UNPROVED_SHARE
-    if now - order.at < share * expected + _LOOK_MARGIN_MS:
+    due_ms = share * expected + _LOOK_MARGIN_MS
+    if state.runs:
+        due_ms = min(due_ms, _siblings.overdue_ms(context, worker, order))
+    if now - order.at < due_ms:
         return False
     if now - worker.looked_at < _LOOK_AGAIN_MS:
         return False
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -8,6 +8,7 @@
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _paces
 
 _MOST_LATE_ORDERS = 64
 
@@ -96,6 +97,11 @@
     may_lack_end: bool = False
     may_begin_late: bool = True
 
+    @property
+    def whole_ms(self) -> float:
+        """How long it takes in all, by the progress that was told last."""
+        return (self.answered_at - self.at) * 100.0 / self.percent
+
     def told(self, worker_clock: float, now: float) -> None:
         """Notes that the worker has just told of it."""
         self.since_clock = max(self.since_clock, worker_clock)
@@ -178,6 +184,9 @@
         waiting: How many tasks wait.
         left: How many tasks have not ended well.
         home_domain: The failure domain of the home that handed it over.
+        runs: Its tasks that have ended well lately, where these are
+            compared.
+        unlearned_runs: How many of them have taught nothing yet.
     """
 
     job: model.Job
@@ -205,6 +214,8 @@
     waiting: int = 0
     left: int = 0
     home_domain: str = ''
+    runs: list[_paces.EndedRun] = attrs.field(factory=list)
+    unlearned_runs: int = 0
 
     @property
     def highest_attempt(self) -> int:
@@ -269,6 +280,9 @@
             runs there.
         slow_job: The job whose task was slow there, if no task of another
             job has told more since, or ''.
+        proved_from: When the newest task there began that was seen at an
+            ordinary pace, where the tasks of a job are compared.
+        slow_from: When the task of ``slow_job`` began, likewise.
         bad: Attempts in a row that it failed.
         suspended_until: Until when it gets no work.
         suspensions: How often in a row it was suspended.
@@ -303,6 +317,8 @@
     looked_at: float = 0.0
     proved_at: float = 0.0
     slow_job: str = ''
+    proved_from: float = -math.inf
+    slow_from: float = -math.inf
     bad: int = 0
     suspended_until: float = 0.0
     suspensions: int = 0
@@ -382,3 +398,28 @@
             and needs.memory_mb <= capacity.memory_mb
             and needs.accelerators <= capacity.accelerators
         )
+
+
+@attrs.define(eq=False)
+class Suspicion:
+    """A task that seems slow, until the job's other tasks are known.
+
+    Attributes:
+        worker: Its worker.
+        order: The attempt.
+        awaited: The workers that have been asked about the other tasks and
+            haven't told yet.
+    """
+
+    worker: WorkerState
+    order: Order
+    awaited: set[str]
+
+    @property
+    def stands(self) -> bool:
+        """Whether the attempt still runs for its job."""
+        order = self.order
+        known = self.worker.orders_by_key.get((order.task, order.attempt))
+        if known is not order or order.phase is not OrderPhase.RUNNING:
+            return False
+        return order.job is not None and not order.job.is_over
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -59,10 +59,42 @@
     Kind('previews', 50.0, 2, 200.0, 0.01, 1, 2_300.0),
 )
 CORES = 27.0
+_MOST_CORES = 41.0
 _SIZES = (64.0, 64.0, 96.0)
 _PACES = (0.8, 1.0, 1.25)
 
 
+@attrs.frozen
+class Fault:
+    """A worker whose tasks take longer, if they begin while it lasts.
+
+    Attributes:
+        worker: The worker's id.
+        since_s: From when on, in seconds.
+        until_s: Until when.
+        factor: How many times as long they take; infinite where they make
+            no progress at all.
+    """
+
+    worker: str
+    since_s: float
+    until_s: float
+    factor: float
+
+
+@attrs.frozen
+class Outliers:
+    """Jobs of which all tasks are longer than usual for their queue.
+
+    Attributes:
+        share: How many of all jobs.
+        factor: How many times as long they are.
+    """
+
+    share: float
+    factor: float
+
+
 @attrs.define(eq=False)
 class _Job:
     kind: Kind
@@ -117,6 +149,21 @@
         workers: How many workers there are.
         away: From when to when nobody dispatches, in seconds; what comes
             meanwhile is handed over at its end.
+        limits: The deployment's figures.
+        sizes: The cores of the workers, in rotation.
+        paces: How fast they are, in rotation among those of equal size.
+        cores: The mean and the most cores that a task takes.
+        outliers: The jobs that are longer than usual, if any.
+        faults: The workers that slow down or stand still.
+        is_each_end_told: Whether each report tells the ends until then, as
+            workers do. Otherwise a report that overtakes an end has its
+            task run again; seeds of older tests are played so.
+
+    Attributes:
+        now: The present time, in milliseconds.
+        dispatcher: The dispatcher under load.
+        jobs: All jobs, by id.
+        suspensions: When each worker was suspended, in order of time.
     """
 
     def __init__(
@@ -128,6 +175,13 @@
         kinds: tuple[Kind, ...] = KINDS,
         workers: int = 24,
         away: tuple[float, float] | None = None,
+        limits: dispatching.DispatchLimits | None = None,
+        sizes: tuple[float, ...] = _SIZES,
+        paces: tuple[float, ...] = _PACES,
+        cores: tuple[float, float] = (CORES, _MOST_CORES),
+        outliers: Outliers | None = None,
+        faults: tuple[Fault, ...] = (),
+        is_each_end_told: bool = False,
     ) -> None:
         self._rng = random.Random(seed)
         self._load_at = load_at or (lambda _: load)
@@ -135,11 +189,21 @@
         self._kinds = kinds
         self._workers = workers
         self._away = away
+        self._sizes = sizes
+        self._paces = paces
+        self._cores, self._most_cores = cores
+        self._outliers = outliers
+        self._faults_by_worker = collections.defaultdict(list)
+        for fault in faults:
+            self._faults_by_worker[fault.worker].append(fault)
+        self._is_each_end_told = is_each_end_told
+        self._untold: dict[str, list] = collections.defaultdict(list)
+        self.suspensions: list[tuple[float, str]] = []
         self._events: list = []
         self._numbers = itertools.count()
         self.now = 0.0
         self.dispatcher = dispatching.JobDispatcher(
-            dispatching.DispatchLimits()
+            limits or dispatching.DispatchLimits()
         )
         self.jobs: dict[str, _Job] = {}
         self._pace: dict[str, float] = {}
@@ -150,8 +214,10 @@
         """Plays the load to its end and returns what each kind got."""
         workers = []
         for index in range(self._workers):
-            worker = case.make_worker(f'w{index:03}', _SIZES[index % 3])
-            self._pace[worker.id] = _PACES[(index // 3) % 3]
+            size = self._sizes[index % len(self._sizes)]
+            worker = case.make_worker(f'w{index:03}', size)
+            turn = index // len(self._sizes)
+            self._pace[worker.id] = self._paces[turn % len(self._paces)]
             workers.append(worker)
         self._do(self.dispatcher.workers_listed(workers, 0.0))
         for worker in workers:
@@ -180,9 +246,9 @@
             self._at(self._gap(kind, self.now), self._arrive, kind)
         else:
             return
-        run_ms = self._spread(kind.run_ms, 0.4)
+        run_ms = self._spread(kind.run_ms, 0.4) * self._lengthening()
         tasks = max(1, round(self._spread(kind.tasks, 0.4)))
-        cores = min(41.0, self._spread(CORES, 0.2))
+        cores = min(self._most_cores, self._spread(self._cores, 0.2))
         job = case.make_job(
             f'{next(self._numbers):016x}',
             tasks,
@@ -192,7 +258,7 @@
             terms=kind.terms,
         )
         runs = [self._spread(run_ms, 0.15) for _ in range(tasks)]
-        mean_work = kind.tasks * kind.run_ms * CORES
+        mean_work = kind.tasks * kind.run_ms * self._cores
         worth = (
             min(4.0, 0.3 + 0.7 * sum(runs) * cores / mean_work) * kind.worth
         )
@@ -200,6 +266,12 @@
         self.jobs[job.id] = _Job(kind, job, self.now, objective, worth, runs)
         self._at(self._handed_at(), self._hand, self.jobs[job.id])
 
+    def _lengthening(self) -> float:
+        outliers = self._outliers
+        if outliers is None or self._rng.random() >= outliers.share:
+            return 1.0
+        return outliers.factor
+
     def _handed_at(self) -> float:
         if self._away is None:
             return self.now
@@ -229,6 +301,8 @@
                 self._at(self.now + 2 * _HOP_MS, self._report, action.worker)
             elif isinstance(action, dispatching.TellHome):
                 self._told(action.message)
+            elif action.event == 'worker_suspended':
+                self.suspensions.append((self.now, action.subject))
 
     def _told(self, message) -> None:
         if isinstance(message, model.JobProgress) and message.number:
@@ -248,11 +322,20 @@
         key = (start.task, start.attempt)
         run_ms = self.jobs[start.task.job].run_ms_by_task[start.task.index]
         took = run_ms / self._pace[start.worker]
+        took *= self._slowing(start.worker)
         self._running[start.worker][key] = (self.now, took)
-        self._at(self.now + took, self._end, start.worker, key)
+        if took < math.inf:
+            self._at(self.now + took, self._end, start.worker, key)
         reply = model.OrderReply(model.OrderResult.DONE, self.now)
         self._at(self.now + _HOP_MS, self._started, start, reply)
 
+    def _slowing(self, worker: str) -> float:
+        second = self.now / 1000.0
+        for fault in self._faults_by_worker[worker]:
+            if fault.since_s <= second < fault.until_s:
+                return fault.factor
+        return 1.0
+
     def _started(self, start, reply) -> None:
         self._do(self.dispatcher.start_answered(start, reply, self.now))
 
@@ -268,10 +351,15 @@
     def _end(self, worker: str, key) -> None:
         if self._running[worker].pop(key, None) is not None:
             end = (key, model.TaskEnd.DONE)
-            self._at(self.now + _HOP_MS, self._report, worker, (end,))
+            if self._is_each_end_told:
+                self._untold[worker].append(end)
+                self._at(self.now + _HOP_MS, self._report, worker)
+            else:
+                self._at(self.now + _HOP_MS, self._report, worker, (end,))
 
     def _report(self, worker: str, ended: tuple = ()) -> None:
         rows = []
+        ended += tuple(self._untold.pop(worker, ()))
         for key, end in ended:
             self._ends[worker] += 1
             rows.append(model.EndedTask(self._ends[worker], *key, end))
