--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -9,6 +9,7 @@
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _forecast
+from rosemaryroad.dispatching import _paces
 from rosemaryroad.dispatching import _refusals
 from rosemaryroad.dispatching import _run_times
 from rosemaryroad.dispatching import _scheduling
@@ -115,6 +116,8 @@
         refusals_by_queue: How many jobs were refused, by queue and cause.
         preemptions_by_queue: How many running tasks of each queue were
             stopped for more urgent jobs.
+        suspicion_by_key: Tasks that seem slow while it isn't known whether
+            the job's others are, too, by task and attempt.
     """
 
     def __init__(
@@ -128,8 +131,8 @@
         self.followed_until = -math.inf
         self.led_since = -math.inf
         self.silence_ms = silence_ms
-        self.run_times = _run_times.RunTimes()
         scheduling = limits.scheduling
+        self.run_times = _make_run_times(scheduling.paces)
         self.forecast = _forecast.Forecast(scheduling.admission.forecast)
         self.refusals = _refusals.RecentRefusals()
         self.next_review_at = -math.inf
@@ -151,6 +154,9 @@
         self.preemptions_by_queue: collections.Counter[str] = (
             collections.Counter()
         )
+        self.suspicion_by_key: dict[
+            tuple[model.TaskId, int], _state.Suspicion
+        ] = {}
         self._numbers = itertools.count(1)
         self._changes = Changes()
         self._actions: list[_actions.Action] = []
@@ -453,3 +459,9 @@
                 news.updated_at,
             )
         return [_actions.TellHome(vm, message) for vm in state.homes]
+
+
+def _make_run_times(paces: _scheduling.PacePolicy) -> _run_times.RunTimes:
+    if paces.compare_siblings:
+        return _paces.ComparedRunTimes()
+    return _run_times.RunTimes()
--- a/rosemaryroad/dispatching/_forecast.py
+++ b/rosemaryroad/dispatching/_forecast.py
@@ -29,10 +29,6 @@
 # The same for the cores of a task.
 _SIZE_RATIO = 1.2
 
-# The deviation of the logarithm of a run time. Estimates and the run times
-# within a queue are each off by about 0.4.
-_SPREAD = 0.5
-
 # An attempt that has run for longer than this many deviations says nothing
 # more about its end, and its remaining probability can't be divided by.
 _MOST_DEVIATIONS = 3.0
@@ -422,7 +418,7 @@
 
     def _make_work(self, state: _state.JobState) -> _Work:
         needed = state.job.needs.cores
-        spread = _spread(self._run_times, state.job.queue)
+        spread = self._run_times.spread(state.job.queue)
         return _Work(
             state.waiting * needed,
             _size(needed),
@@ -469,7 +465,7 @@
                         worker.free_cores + order.needs.cores,
                         expected_ms,
                         self._now - order.at,
-                        _spread(self._run_times, state.job.queue),
+                        self._run_times.spread(state.job.queue),
                     )
                 )
         self._free.append(free)
@@ -571,11 +567,6 @@
     return math.floor(math.log(max(1.0, cores)) * _PER_SIZE)
 
 
-def _spread(run_times: _run_times.RunTimes, queue: str) -> float:
-    """Returns the deviation of the logarithm of a queue's run times."""
-    return _SPREAD
-
-
 def _late_key(state: _state.JobState) -> tuple[bool, bool, float]:
     """Returns the order among jobs that have missed their objective."""
     is_too_late = state.lateness is _state.Lateness.TOO_LATE
