--- a/rosemaryroad/dispatching/_cells.py
+++ b/rosemaryroad/dispatching/_cells.py
@@ -52,11 +52,11 @@
         if not self.shares:
             return
         if len(self.shares) != self.count:
-            raise ValueError(f'{len(self.shares)} shares of {self.count}')
+            raise ValueError(f'{len(self.shares)} shares, {self.count} cells')
         if min(self.shares) <= 0:
-            raise ValueError('a share that is not positive')
+            raise ValueError('a share is not positive')
         if abs(sum(self.shares) - 1.0) > _SUM_TOLERANCE:
-            raise ValueError(f'shares that add up to {sum(self.shares):g}')
+            raise ValueError(f'shares add up to {sum(self.shares):g}, not 1')
 
     def of_job(self, job_id: str) -> int:
         """Returns the cell that a job belongs to."""
@@ -84,9 +84,8 @@
 ) -> Cells:
     """Returns a division in which cells get jobs by their workers' cores.
 
-    A hash gives cells of some sixty workers up to a quarter more or less
-    room; with equal parts of the jobs a burst overloads the smallest one
-    while others have room.
+    A hash gives cells unequal room; with equal parts of the jobs a burst
+    overloads the smallest cell while others have room.
 
     Args:
         cells: The division, with equal parts.
--- a/rosemaryroad/dispatching/_forecast.py
+++ b/rosemaryroad/dispatching/_forecast.py
@@ -33,7 +33,7 @@
 # more about its end, and its remaining probability can't be divided by.
 _MOST_DEVIATIONS = 3.0
 
-# A share of the variance that is never left out, against a division by 0.
+# The smallest variance, in squares of cores, against a division by 0.
 _LEAST_VARIANCE = 1.0
 
 _ROOT_HALF = math.sqrt(0.5)
@@ -301,7 +301,7 @@
     def refused(self, state: _state.JobState) -> None:
         """Leaves out a job that waits no longer.
 
-        All jobs behind it, and none before it, are to be asked about after.
+        After this, chances are right only for jobs behind it in the order.
         """
         work = self._make_work(state)
         self._refused.append(work)
@@ -333,7 +333,8 @@
             own = self._held(self._make_work(state), step, size)
             waiting = waiting.plus(own.times(-1.0))
         whole = waiting.plus(self._held_by_arrivals(step, size, due_ms))
-        # As a normal distribution, few arrivals could hold less than none.
+        # The normal distribution of few arrivals includes negative demand,
+        # which would make a start seem likelier than without arrivals.
         probability = min(
             _probability(supply, waiting), _probability(supply, whole)
         )
@@ -346,12 +347,12 @@
         """
         ended = self._ended_by_step.get(step)
         if ended is None:
-            ended = self._ended_by_step[step] = self._add_up(step)
+            ended = self._ended_by_step[step] = self._ended_cores(step)
         cores = _SIZE_RATIO**size
         free = sum(item for item in self._free if item >= cores)
         return _Sum(free + ended.mean, ended.variance)
 
-    def _add_up(self, step: int) -> _Sum:
+    def _ended_cores(self, step: int) -> _Sum:
         ms = _GRID_RATIO**step
         mean = variance = 0.0
         for attempt in self._running:
@@ -375,18 +376,18 @@
         whole = _Sum()
         for flow in self._flow_by_queue.values():
             held = flow.held(_GRID_RATIO**step, due_ms)
-            whole = whole.plus(held.times(self._rivalry(flow.size, size)))
+            whole = whole.plus(held.times(self._blocking(flow.size, size)))
         return whole
 
     def _make_prefix(self, step: int, size: int) -> _Prefix:
-        rivalry_by_size = {
-            work.size: self._rivalry(work.size, size) for work in self._work
+        blocking_by_size = {
+            work.size: self._blocking(work.size, size) for work in self._work
         }
         ms = _GRID_RATIO**step
         mean = variance = 0.0
         prefix = _Prefix([mean], [variance], self._held_by_refused(step, size))
         for work in self._work:
-            cores = work.cores * rivalry_by_size[work.size]
+            cores = work.cores * blocking_by_size[work.size]
             if work.expected_ms < ms:
                 cores *= work.expected_ms / ms
                 variance += cores * cores * work.doubt
@@ -409,7 +410,7 @@
             step: The time.
             size: Of which tasks it holds up the start.
         """
-        cores = work.cores * self._rivalry(work.size, size)
+        cores = work.cores * self._blocking(work.size, size)
         share = work.expected_ms / _GRID_RATIO**step
         if share >= 1.0:
             return _Sum(cores)
@@ -426,7 +427,7 @@
             math.expm1(spread * spread),
         )
 
-    def _rivalry(self, size: int, other: int) -> float:
+    def _blocking(self, size: int, other: int) -> float:
         """Returns how often a task takes room that another one could use.
 
         A task that is too large for most pieces of room lets smaller ones
--- a/rosemaryroad/dispatching/_preemption.py
+++ b/rosemaryroad/dispatching/_preemption.py
@@ -65,7 +65,7 @@
     """Stops tasks where an urgent job would miss its objective otherwise."""
     if not context.limits.scheduling.priorities.preempt:
         return
-    if not any(_is_pressed(state, now) for state in context.waiting):
+    if not any(_needs_stop_now(state, now) for state in context.waiting):
         return
     workers = _queue.usable_workers(context, now)
     served = _jobs_being_served(context)
@@ -77,7 +77,7 @@
             continue
         tasks = _startable_tasks(context, state)
         stopped = 0
-        if _is_pressed(state, now) and not _has_room(workers, state, now):
+        if _needs_stop_now(state, now) and not _has_room(workers, state, now):
             free_cores = _expected_cores(runs, state) - ahead_cores
             most = tasks - _tasks_that_fit(state, free_cores)
             stopped = _make_room(context, state, most, victims, now)
@@ -85,7 +85,7 @@
         ahead_cores += (tasks - stopped) * state.job.needs.cores
 
 
-def _is_pressed(state: _state.JobState, now: float) -> bool:
+def _needs_stop_now(state: _state.JobState, now: float) -> bool:
     """Tells whether a stop helps a job now, and would be late next time."""
     if not state.waiting or state.is_over or state.unseen:
         return False
--- a/rosemaryroad/dispatching/_ranking.py
+++ b/rosemaryroad/dispatching/_ranking.py
@@ -24,13 +24,13 @@
 # short one. The next dispatcher takes over what runs in the home's own domain.
 _OTHER_DOMAIN_COST = 0.5
 
-# The home's record, the order to start and the news of the end take some 5 ms,
-# and tens of milliseconds where an entry VM is weak. With 5 ms here, tasks
-# went to slow workers with nothing to spare.
+# The time for the home's record, the order to start and the news of the end.
+# It allows for weak entry VMs: with less, tasks on slow workers end late.
 _MESSAGES_MS = 20.0
 
 # So many standard deviations a run may be longer than expected and still be
-# in time. With two, fewer jobs ended in time: fast workers were filled.
+# in time. A larger margin fills the fast workers with tasks that could run
+# elsewhere.
 _MARGIN_DEVIATIONS = 1.0
 
 # Above all ranks of workers that are in time, and of those near the data.
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -73,7 +73,7 @@
             _take_absence(context, worker, order, report, now)
     _bar_late_starts(context, worker, report, now)
     if context.suspicion_by_key:
-        _siblings.told(context, worker, now)
+        _siblings.take_report(context, worker, now)
     _take_survey(context, worker, report, now)
 
 
--- a/rosemaryroad/dispatching/_sharing.py
+++ b/rosemaryroad/dispatching/_sharing.py
@@ -25,10 +25,10 @@
 _YIELD_MS = 3_000.0
 _PRIOR_MS = 30.0
 
-# Only this part of what the cores yield is divided. With all of it, a bursting
-# key's account stays about its bound, and many of its jobs come among the
-# others' in time.
-_DIVIDED = 0.8
+# The part of the cores' yield that is divided among the keys. If all of it
+# were, a bursting key's account would stay close to its bound, and many of its
+# jobs would be ordered among the others'.
+_DIVIDED_SHARE = 0.8
 
 # An account is kept below this many times its bound. What a key has had beyond
 # that was room that nobody else wanted; charged in full, a burst of a minute
@@ -101,8 +101,8 @@
 
     Room that no task fits into, workers that are slow or get no work, and run
     times that are estimated too low all lessen it. Where all the cores' time
-    is divided, keys have room beyond what there is, and none is ever over its
-    share: tasks of 27 cores leave a sixth of workers of 64 and 96 cores empty.
+    is divided, keys are promised more room than there is, and none is ever
+    over its share.
 
     Attributes:
         work: The work that was started during scarcity, in core-ms.
@@ -188,7 +188,7 @@
         self._placed_work = 0.0
         self._was_scarce = is_scarce
         self._cores = cores
-        self._divided = _DIVIDED * cores * self._yield.share(cores)
+        self._divided = _DIVIDED_SHARE * cores * self._yield.share(cores)
         self._divide()
         self._over = frozenset(self._find_over())
 
--- a/rosemaryroad/dispatching/_siblings.py
+++ b/rosemaryroad/dispatching/_siblings.py
@@ -1,4 +1,4 @@
-"""Whether a long task is its job's doing or its worker's.
+"""Tells whether a task is slow because of its job or of its worker.
 
 Progress is known only when a worker reports. All tasks of a long job become
 overdue together, and the first report that shows it comes before those of the
@@ -20,7 +20,7 @@
 # A worker is slow if the job's other tasks take less than this share of
 # its task's time, and less than chance explains: tasks of one job differ by
 # 0.15 in the logarithm, and paces are known with a doubt. Beyond 3 standard
-# deviations it explains one case in 700.
+# deviations, chance is an unlikely explanation.
 _SIBLINGS_SHARE = 0.5
 _TASK_VARIANCE = 0.15**2
 _MOST_DEVIATIONS = 3.0
@@ -74,7 +74,7 @@
     if _is_early(context, order):
         return
     if _factor(context, worker, order) < _learning.SLOW_FACTOR:
-        _clear(worker, order, now)
+        _note_ordinary_pace(worker, order, now)
         return
     if worker.proved_from > order.at:
         # Another task began later and is at its pace.
@@ -100,7 +100,7 @@
     return _OVERDUE_FACTOR * ratio * last.took_ms + _OVERDUE_MARGIN_MS
 
 
-def told(
+def take_report(
     context: _context.Context, worker: _state.WorkerState, now: float
 ) -> None:
     """Judges the workers for which a report of another one was awaited."""
@@ -124,7 +124,7 @@
 ) -> None:
     if known:
         if _is_long_job(context, worker, order, known):
-            _clear(worker, order, now)
+            _note_ordinary_pace(worker, order, now)
             return
         usual_ms = _median_ms(known)
         others = f'{len(known)} other tasks of its job'
@@ -182,7 +182,7 @@
     return statistics.median(sibling.time_ms for sibling in known)
 
 
-def _clear(
+def _note_ordinary_pace(
     worker: _state.WorkerState, order: _state.Order, now: float
 ) -> None:
     worker.proved_at = now
--- a/rosemaryroad/dispatching/_view.py
+++ b/rosemaryroad/dispatching/_view.py
@@ -37,7 +37,8 @@
         cores: Cores in use.
         refusals_by_cause: Jobs refused since the start of the dispatcher.
         preempted_tasks: Tasks stopped since then for more urgent jobs.
-        expected_wait_ms: How long a job that comes now is expected to wait.
+        expected_wait_ms: How long a job is expected to wait, as told by the
+            age of the oldest one that waits.
     """
 
     waiting_tasks: int = 0
--- a/rosemaryroad/dispatching/_waiting.py
+++ b/rosemaryroad/dispatching/_waiting.py
@@ -56,7 +56,7 @@
         self._shares = shares
         self._jobs: list[_state.JobState] = []
         self._are_few_late = True
-        self._is_by_due_alone = self._is_unset()
+        self._is_by_due_alone = self._has_default_order()
 
     def __iter__(self) -> collections.abc.Iterator[_state.JobState]:
         """Goes through the jobs in order; some may wait no longer."""
@@ -82,7 +82,7 @@
             now: The present time.
             cores: What all workers have together.
         """
-        self._is_by_due_alone = self._is_unset()
+        self._is_by_due_alone = self._has_default_order()
         kept = []
         late_work = 0.0
         for state in self._jobs:
@@ -143,7 +143,7 @@
         rank = begun if state.started else not_begun
         state.rank = (rank, state.left * state.expected_ms)
 
-    def _is_unset(self) -> bool:
+    def _has_default_order(self) -> bool:
         order = self.priorities.order
         is_unordered = order is _scheduling.PriorityOrder.NONE
         return is_unordered and not self._shares.is_on
--- a/rosemaryroad/emulation/_workload.py
+++ b/rosemaryroad/emulation/_workload.py
@@ -207,8 +207,8 @@
 
 def _draw_spread(spread: _settings.Spread, rng: random.Random) -> float:
     value = _vary(spread.mean, spread.sigma, rng)
-    # Without outliers no number is drawn, so that a seed of an experiment
-    # without them plays as it always has.
+    # Without outliers no number is drawn, so that setting none leaves the
+    # numbers that a seed gives unchanged.
     if spread.tail and rng.random() < spread.tail:
         value *= spread.tail_factor
     return min(spread.most, value)
--- a/rosemaryroad/explain.py
+++ b/rosemaryroad/explain.py
@@ -76,8 +76,8 @@
 )
 
 
-# A job's id, also within a task's name.
-_WORD = re.compile(r'[^\s/,]+')
+# A part of a detail that may be a job's id, also within a task's name.
+_NAME_PART = re.compile(r'[^\s/,]+')
 
 
 @attrs.frozen
@@ -200,7 +200,7 @@
             if line.fields.get('subject') in workers:
                 found.append(line)
         elif line.event in _OF_JOBS:
-            if job in _WORD.findall(line.fields.get('detail', '')):
+            if job in _NAME_PART.findall(line.fields.get('detail', '')):
                 found.append(line)
         elif line.event in _OF_VMS:
             about = line.fields.get('vm')
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -148,7 +148,7 @@
         return self._dispatcher.view(self._clock.now())
 
     def counts(self) -> dispatching.DecisionCounts:
-        """Returns what was decided here, also in earlier turns."""
+        """Returns what was decided here, also by earlier dispatchers."""
         counts = dispatching.DecisionCounts()
         counts.add(self._past_counts)
         if self._dispatcher is not None:
--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -428,7 +428,7 @@
 
 
 def _heard_cells(vm: str, message: model.Pulses) -> dispatching.Cells | None:
-    """Returns the division that a peer tells, or None for one of no sense."""
+    """Returns the division that a peer tells, or None if it is invalid."""
     try:
         return dispatching.Cells(message.cells, message.cell_shares)
     except ValueError as error:
--- a/rosemaryroad/jobserver/_metrics.py
+++ b/rosemaryroad/jobserver/_metrics.py
@@ -289,7 +289,7 @@
     """Returns text as the value of a label.
 
     The library doesn't escape it. A rack that a client names with a quote, a
-    line break or half a character would make the whole page unreadable.
+    line break or a lone surrogate would make the whole page unreadable.
     """
     whole = text.encode('utf-8', 'replace').decode()
     return whole.replace('\\', r'\\').replace('\n', r'\n').replace('"', r'\"')
