--- a/rosemaryroad/jobserver/_members.py
+++ b/rosemaryroad/jobserver/_members.py
@@ -349,8 +349,8 @@
             logging.INFO,
             'cells_known',
             count=cells.count,
-            shares=cells.shares,
             source=source,
+            shares=cells.shares,
         )
         for cell in range(1, cells.count):
             self._add_election(cell)
