Play one queue's burst by one setting, and ask a surveyed worker no further

A late report from before most VMs followed had an already surveyed worker asked once more for nothing.

--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -91,7 +91,8 @@
     if report.asked_at < context.led_since:
         # Asked before: without another question now, what starts here lapses
         # before the next regular one.
-        context.ask(_actions.LookAt(worker.worker.id))
+        if not worker.is_surveyed:
+            context.ask(_actions.LookAt(worker.worker.id))
         return
     has_short_leases = bool(worker.orders_by_key) and not worker.is_surveyed
     worker.is_surveyed = True
--- a/tests/dispatching/played_load.py
+++ b/tests/dispatching/played_load.py
@@ -192,7 +192,6 @@
         limits: Figures of the deployment.
         is_paired: Whether each kind draws from a generator of its own, so
             that a burst of one kind leaves the others' jobs as they are.
-        load_at_by_queue: The same as ``load_at`` for single queues.
         stop_ms: How long a worker takes to stop a task.
         sizes: The cores of the workers, in rotation.
         paces: How fast they are, in rotation among those of equal size.
@@ -221,7 +220,6 @@
         away: tuple[float, float] | None = None,
         limits: dispatching.DispatchLimits | None = None,
         is_paired: bool = False,
-        load_at_by_queue=None,
         stop_ms: float = 0.0,
         sizes: tuple[float, ...] = _SIZES,
         paces: tuple[float, ...] = _PACES,
@@ -236,7 +234,6 @@
             for number, kind in enumerate(kinds)
         }
         self._load_at = load_at or (lambda _: load)
-        self._load_at_by_queue = load_at_by_queue or {}
         self._stop_ms = stop_ms
         self._seconds = seconds
         self._kinds = kinds
@@ -295,8 +292,7 @@
         heapq.heappush(self._events, entry)
 
     def _gap(self, kind: Kind, now: float) -> float:
-        load_at = self._load_at_by_queue.get(kind.queue, self._load_at)
-        load = load_at(now / 1000.0) * kind.load_at(now / 1000.0)
+        load = self._load_at(now / 1000.0) * kind.load_at(now / 1000.0)
         rate = kind.per_s * load * self._workers / 24
         gap_s = self._rng_by_kind[kind].expovariate(rate)
         return now + gap_s * 1000.0
--- a/tests/dispatching/test_preemption.py
+++ b/tests/dispatching/test_preemption.py
@@ -571,7 +571,16 @@
 
 
 _KINDS = (
-    played_load.Kind(_URGENT, 8.0, 8, 60.0, 0.0291, 0, 2_300.0),
+    played_load.Kind(
+        _URGENT,
+        8.0,
+        8,
+        60.0,
+        0.0291,
+        0,
+        2_300.0,
+        load_at=lambda s: 3.0 if 2 < s < 6 else 1.0,
+    ),
     played_load.Kind(_LONG, 8.5, 4, 900.0, 0.16, 2, 6_000.0),
     played_load.Kind('previews', 25.0, 2, 200.0, 0.01, 1, 2_300.0),
 )
@@ -593,7 +602,6 @@
             seed,
             seconds=8.0,
             kinds=_KINDS,
-            load_at_by_queue={_URGENT: lambda s: 3.0 if 2 < s < 6 else 1.0},
             limits=_limits(preempt),
             stop_ms=20.0,
         )
