--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,59 +1,48 @@
-"""A minion that comes back as another kind gets tasks of its old kind.
+"""A late copy of its request has a cancelled job run after all.
 
 ``run.sh`` starts it; see ``claim.txt``.
 """
 
 import asyncio
-import collections.abc
-import itertools
 
 from standins import client
 from standins import deployment
 
-_KIND, _OTHER_KIND = 'a', 'b'
-_MINIONS = 8
-_CRASHES = 3
-_DOWN_S = 0.5
-_BETWEEN_S = 2.5
-_EVERY_S = 0.033
+_JOB = '5c0e7a21d94b36f8'
+_CANCEL_S = 3.0
+_COPY_AFTER_S = 4.0
 
 
 async def play(system: deployment.Deployment) -> int:
     log = system.log
     system.configure(clips='/lohu930/')
-    await system.start(vms=3, minions=_MINIONS)
+    await system.start(vms=3, minions=8)
     await system.wait_ready()
     await asyncio.sleep(6.0)
-    calls = []
-    loading = asyncio.create_task(_load(system, calls))
+    caller = client.Client(log, '/lohu930/')
+    node = system.daemons[0]
+    body = caller.job('900', count=4, est_ms=900)
+    posted = asyncio.create_task(caller.post(node, _JOB, body))
+    await asyncio.sleep(0.4)
+    cancelled = await caller.delete(node, _JOB)
+    acknowledged_at = log.now()
+    answer = await posted
+    if cancelled.status != 200 or answer.status != 200:
+        raise deployment.CannotRun('the job was not cancelled in time')
+    await asyncio.sleep(_COPY_AFTER_S)
+    if deployment.trouble():
+        log.add('TROUBLE: the same request arrives again, after its 2xx')
+        await caller.post(node, _JOB, body)
     await asyncio.sleep(2.0)
-    for item in system.minions[:_CRASHES]:
-        if deployment.trouble():
-            log.add('TROUBLE: a minion crashes', minion=item.id)
-            await item.crash()
-            await asyncio.sleep(_DOWN_S)
-            await item.come_back(_OTHER_KIND)
-            log.add('it is back', minion=item.id, kind=item.kind)
-        await asyncio.sleep(_BETWEEN_S)
-    loading.cancel()
-    await asyncio.gather(*calls)
-    starts = log.of('start')
-    wrong = [fields for _, fields in starts if fields['kind'] != _KIND]
-    log.add('check', starts=len(starts), without_the_label=len(wrong))
-    return deployment.BROKEN if wrong else deployment.HELD
-
-
-async def _load(
-    system: deployment.Deployment, calls: list[collections.abc.Awaitable]
-) -> None:
-    """Hands in jobs that require the first kind, at all VMs in turn."""
-    caller = client.Client(system.log, '/lohu930/')
-    for number in itertools.count(1):
-        node = system.daemons[number % len(system.daemons)]
-        body = caller.job('100', count=4, est_ms=100, requires=_KIND)
-        call = caller.post(node, f'{number:016x}', body)
-        calls.append(asyncio.create_task(call))
-        await asyncio.sleep(_EVERY_S)
+    late = [
+        at for at, _ in log.of('start') if at > acknowledged_at + _CANCEL_S
+    ]
+    log.add(
+        'check',
+        acknowledged_at=f'{acknowledged_at:.3f}',
+        starts_later_than_cancel_ms=len(late),
+    )
+    return deployment.BROKEN if late else deployment.HELD
 
 
 deployment.run(play)
