--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,14 +16,15 @@
 _MINIONS = {_ZONE: 4, 'kecskemet-terem': 8, 'bekes-terem': 8}
 
 _ALONE_S = 1.5
-_RUNNING_S = 1.2
-_KILL_AFTER_S = 0.3
+_RUNNING_S = 0.5
+_KILL_AFTER_S = 0.2
 _RESEND_S = 1.3
 _LOOK_S = 2.5
 
 _JOBS = 24
-_WORK_MS = 5000
-_DEADLINE_MS = 8000
+_WORK_MS = 3500
+_ESTIMATE_MS = 1500
+_DEADLINE_MS = 1500
 
 _CLAIM = re.compile(r'event=role_changed cell=0 claim=(\w+)')
 
@@ -41,7 +42,7 @@
         net.cut_vm(lost.name)
     await asyncio.sleep(_ALONE_S)
     caller = client.Client(log, '/lohu930/')
-    body = caller.job(str(_WORK_MS), count=1, est_ms=_WORK_MS)
+    body = caller.job(str(_WORK_MS), count=1, est_ms=_ESTIMATE_MS)
     calls = {
         job_id: asyncio.create_task(
             caller.post(lost, job_id, body, _DEADLINE_MS)
