Stop a deputy's tasks that a lost VM's clients may start again

Cause: a lease covers all that runs on a worker, so the dispatcher of most VMs prolonged what a deputy had started there for as long as it ran. Whoever takes such a job next counts on it that a lease after its dispatcher is gone or cut off from the worker the task is gone as well. The dispatcher of most may prolong it only while the deputy is the one VM that can start it: clients that come to VMs that follow this dispatcher are told where their tasks run. A second VM that is lost ends that.

Evidence: each call of the deputy to these workers was unanswered for 2.3 s before the second start, and a lease is 1 s.

Change: an attempt of another dispatcher that no home claims is stopped once it is older than a lease, if another VM was lost since before it began, or no worker of a failure domain is heard. No message has changed.

stop_unclaimed has moved from _handover to _foreign, beside the new rule.

--- a/rosemaryroad/dispatching/_checks.py
+++ b/rosemaryroad/dispatching/_checks.py
@@ -2,7 +2,7 @@
 
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
-from rosemaryroad.dispatching import _handover
+from rosemaryroad.dispatching import _foreign
 from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
@@ -22,8 +22,7 @@
         cause = 'silent until the leases lapsed'
         context.drop_orders(worker, lapsed_orders, cause, now)
         return
-    if not context.is_outvoted:
-        _handover.stop_unclaimed(context, worker, now)
+    _foreign.stop_unclaimed(context, worker, now)
     looked = False
     for order in list(worker.orders_by_key.values()):
         if (
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -93,6 +93,8 @@
         followed_until: Until when most VMs are known to have followed this
             one, before that.
         led_since: Since when most follow this one, if they didn't at first.
+        vm_lost_at: When it last lost an entry VM, to which clients of others
+            may come.
         silence_ms: How long a home hears nothing from this dispatcher
             before it may hand its jobs to another one.
         run_times: What tasks take.
@@ -130,6 +132,7 @@
         self.outvoted_since = outvoted_since
         self.followed_until = -math.inf
         self.led_since = -math.inf
+        self.vm_lost_at = -math.inf
         self.silence_ms = silence_ms
         scheduling = limits.scheduling
         self.run_times = _make_run_times(scheduling.paces)
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -10,6 +10,7 @@
 from rosemaryroad.dispatching import _checks
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _draining
+from rosemaryroad.dispatching import _foreign
 from rosemaryroad.dispatching import _handover
 from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _lives
@@ -190,6 +191,7 @@
         for state in list(self._context.jobs_by_id.values()):
             if home in state.homes:
                 self._leave(home, state, 'home lost', now)
+        _foreign.vm_lost(self._context, now)
         _queue.fill(self._context, now)
         return self._context.take_actions()
 
--- a/rosemaryroad/dispatching/_handover.py
+++ b/rosemaryroad/dispatching/_handover.py
@@ -6,12 +6,6 @@
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
 
-# Homes hand their jobs to a new dispatcher as soon as they hear of it, some
-# milliseconds after it has; what runs for none of them runs for nobody. It
-# must be gone before its own dispatcher, if that lives on behind a cut,
-# takes it for lapsed.
-_CLAIM_MS = 150.0
-
 
 def make_state(
     home: str, message: model.JobSubmitted, now: float
@@ -144,17 +138,3 @@
     for key, until in list(state.unseen.items()):
         if now >= until:
             del state.unseen[key]
-
-
-def stop_unclaimed(
-    context: _context.Context, worker: _state.WorkerState, now: float
-) -> None:
-    """Stops what a worker ran when it was taken up, and no home claims."""
-    if not worker.reported:
-        return
-    since = max(worker.taken_up_at, context.led_since)
-    if now - since < _CLAIM_MS:
-        return
-    for order in list(worker.unclaimed_by_key.values()):
-        if order.was_found and order.phase is _state.OrderPhase.RUNNING:
-            context.stop(worker, order, 'nobody claims it', now)
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -54,6 +54,7 @@
     now: float,
 ) -> None:
     """Takes in what a worker runs and what has ended there."""
+    told_before = worker.told_asked_at
     if not _lives.take_report(context, worker, report, now):
         return
     _heard(context, worker, report, now)
@@ -67,6 +68,7 @@
         if (row.task, row.attempt) not in worker.orders_by_key:
             order = _take_foreign(context, worker, row, now)
             order.was_found = not worker.is_surveyed
+            order.begun_after = told_before
         _take_running(context, worker, row, report, now)
     for key, order in list(worker.orders_by_key.items()):
         if key not in running and key not in ended:
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -64,6 +64,8 @@
             has claimed it.
         was_found: Whether another dispatcher may have started it before
             this one took its worker up, or before most VMs followed it.
+        begun_after: The last time at which it is known not to have begun, for
+            one of another dispatcher.
         begun_at: When it was first known to have begun, or None before.
         was_named: Whether a report of the worker's present life named it.
         since_asked: A report that was asked for before says nothing of it,
@@ -92,6 +94,7 @@
     adopted: bool = False
     is_foreign: bool = False
     was_found: bool = False
+    begun_after: float = -math.inf
     begun_at: float | None = None
     was_named: bool = False
     since_asked: float = 0.0
--- a/tests/dispatching/drawn_plays.py
+++ b/tests/dispatching/drawn_plays.py
@@ -15,6 +15,7 @@
 from tests.dispatching import drawn_faults
 from tests.dispatching import drawn_one_way
 from tests.dispatching import drawn_preemptions
+from tests.dispatching import drawn_returns
 from tests.dispatching import played_service
 
 
@@ -25,6 +26,7 @@
     ONE_WAY = 'one-way'
     DRAINS = 'drains'
     PREEMPTIONS = 'preemptions'
+    RETURNS = 'returns'
 
 
 _PLAY_BY_LIST = {
@@ -32,6 +34,7 @@
     FaultList.ONE_WAY: drawn_one_way.OneWayFaults,
     FaultList.DRAINS: drawn_drains.DrawnDrains,
     FaultList.PREEMPTIONS: drawn_preemptions.DrawnPreemptions,
+    FaultList.RETURNS: drawn_returns.DrawnReturns,
 }
 
 
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import heapq
 import itertools
 import math
@@ -461,7 +462,7 @@
         left_ms: float = 6_000.0,
         run_ms: float | None = None,
         **fields,
-    ) -> None:
+    ) -> asyncio.Task:
         """Hands a job of two tasks in, or the same one again.
 
         Args:
@@ -470,6 +471,9 @@
             left_ms: When its client stops waiting.
             run_ms: How long its tasks take, if not as long as usual.
             **fields: Fields of the job that differ from the usual ones.
+
+        Returns:
+            What waits for its answer.
         """
         usual = {'tasks': 2, 'cores': 20.0, 'estimate_ms': 900.0}
         job = case.make_job(job_id, **(usual | fields))
@@ -480,6 +484,13 @@
         task = asyncio.ensure_future(home.submit(job, _LONG_MS))
         self._tasks.add(task)
         self._at(self.now + left_ms, task.cancel)
+        return task
+
+    def call_later(
+        self, ms: float, what: collections.abc.Callable, *arguments
+    ) -> None:
+        """Has something happen after a while."""
+        self._at(self.now + ms, what, *arguments)
 
     async def run(self, ms: float) -> None:
         """Lets time pass."""
@@ -502,7 +513,7 @@
 
     def ends(self) -> list[model.JobEnd | None]:
         """Returns how all jobs so far have ended; None for no answer yet."""
-        return [_end_of(task) for task in self._tasks]
+        return [end_of(task) for task in self._tasks]
 
     async def close(self) -> None:
         """Ends what clients wait for."""
@@ -1049,7 +1060,8 @@
         self._carry_out(vm, actions)
 
 
-def _end_of(task: asyncio.Task) -> model.JobEnd | None:
+def end_of(task: asyncio.Task) -> model.JobEnd | None:
+    """Returns how a job has ended, or None where its client has no answer."""
     # A client of a VM that was killed gets no answer.
     if not task.done() or task.cancelled() or task.exception():
         return None
