Refuse values out of bounds where they are decoded, and go on

Cause: decoders checked a value's type and not its bounds. A number of 401 digits raised OverflowError where ValueError was expected; that ended the reading of all entries, then the loop that follows the table, at each try.

Evidence: 57 lines loop_restarted, 19 a VM, with that traceback, and no line workers_known after the restart; the queues came from the same store.

Change: _json_values.py bounds what other programs write, and all decoders of JSON go by it: entries, the configuration, rows of VMs, dispatchers and cells, answers of the store, reports and answers of minions, jobs, the VM list, documents, settings and rows by structure.py. A row that fails otherwise names nothing and is logged once; the following of a table, the holding of a worker and the sending to a peer go on after a fault in one item. A minion's report with a part of no sense is refused whole, since an attempt that it lacks would be started again. Jobs of more than 20,000 tasks are refused as not served.

--- a/rosemaryroad/_document_rows.py
+++ b/rosemaryroad/_document_rows.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from rosemaryroad import _json_values
 from rosemaryroad import errors
 from rosemaryroad import logs
 from rosemaryroad import model
@@ -166,7 +167,7 @@
     if row is None:
         return None
     try:
-        raw = json.loads(row.value)
+        raw = _json_values.load(row.value)
     except ValueError as error:
         problem = errors.Problem(
             row.key, errors.ResultCode.UNREADABLE, str(error)
--- a/rosemaryroad/dispatching/_cells.py
+++ b/rosemaryroad/dispatching/_cells.py
@@ -23,6 +23,10 @@
 
 _HASHES = 2**32
 
+# A VM keeps an election for each cell. The largest deployment that is planned
+# for has 25.
+MOST_CELLS = 1_000
+
 # Shares are sums of floating-point parts.
 _SUM_TOLERANCE = 1e-6
 
@@ -43,7 +47,10 @@
         ValueError: The shares don't fit the count, or each other.
     """
 
-    count: int = attrs.field(default=1, validator=attrs.validators.ge(1))
+    count: int = attrs.field(
+        default=1,
+        validator=[attrs.validators.ge(1), attrs.validators.le(MOST_CELLS)],
+    )
     shares: tuple[float, ...] = attrs.field(
         default=(), metadata=structure.OMIT_DEFAULT
     )
@@ -76,7 +83,8 @@
 
 def cells_for(workers: int) -> Cells:
     """Returns the division for a deployment with so many workers."""
-    return Cells(max(1, math.ceil(workers / _WORKERS_IN_A_CELL)))
+    count = math.ceil(workers / _WORKERS_IN_A_CELL)
+    return Cells(min(max(1, count), MOST_CELLS))
 
 
 def share_by_room(
--- a/rosemaryroad/jobserver/_following.py
+++ b/rosemaryroad/jobserver/_following.py
@@ -153,7 +153,7 @@
             self._keep_missing(rows)
             self._row_by_key = self._kept | rows
             self._version = found.version
-            self._on_rows(self._row_by_key)
+            self._tell()
             return
         wait_ms = self._wait_ms
         keep_ms = self._kept_until - self._clock.now()
@@ -184,7 +184,18 @@
             self._kept.pop(row.key, None)
         if found.rows or found.deleted:
             self._note_change()
+            self._tell()
+
+    def _tell(self) -> None:
+        """Passes all rows on; a fault there doesn't end the following.
+
+        The rows would otherwise be told again at the next change only, and
+        that would come a second later each time.
+        """
+        try:
             self._on_rows(self._row_by_key)
+        except Exception:
+            logs.fault(_LOG, 'rows_fault', table=self._table)
 
     def _note_change(self) -> None:
         now = self._clock.now()
@@ -207,7 +218,7 @@
         for key in self._kept:
             del self._row_by_key[key]
         self._kept = {}
-        self._on_rows(self._row_by_key)
+        self._tell()
 
     def _failed(self, error: errors.PlatformUnavailable) -> None:
         self._metrics.store_called(self._table, 'failed')
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -175,7 +175,8 @@
         for run in (
             self._members.run,
             *(follower.run for follower in self._followers),
-            self._keep_time,
+            self._keep_dispatching,
+            self._keep_home,
         ):
             self._loops.append(asyncio.create_task(_loops.keep_running(run)))
         self._loops.append(asyncio.create_task(self._members.announce()))
@@ -452,10 +453,14 @@
             succession_rest_ms,
         )
 
-    async def _keep_time(self) -> None:
-        flushed_at = 0.0
+    async def _keep_dispatching(self) -> None:
         while True:
             self._dispatching.tick()
+            await self._clock.sleep(dispatching.TICK_MS)
+
+    async def _keep_home(self) -> None:
+        flushed_at = 0.0
+        while True:
             self._home.hand_again()
             now = self._clock.now()
             if self._sink is not None and now - flushed_at >= _FLUSH_MS:
--- a/rosemaryroad/jobserver/_rows.py
+++ b/rosemaryroad/jobserver/_rows.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from rosemaryroad import _json_values
 from rosemaryroad import clock as clock_module
 from rosemaryroad import dispatching
 from rosemaryroad import errors
@@ -72,7 +73,7 @@
 def read(row: platform.Row, kind: type[attrs.AttrsInstance]):
     """Reads a row's value, or returns None for one of no sense."""
     try:
-        return structure.structure(json.loads(row.value), kind)
+        return structure.structure(_json_values.load(row.value), kind)
     except (ValueError, errors.CheckFailed) as error:
         _skipped(row, error)
         return None
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -143,9 +143,7 @@
         self._clock = clock
         self._acknowledged = _acknowledged.Acknowledged()
         self._look = _Look()
-        self._background = _background.BackgroundTasks(
-            lambda error: logs.fault(_LOG, 'worker_session_failed', error)
-        )
+        self._background = _background.BackgroundTasks(self._note_fault)
         self._closed = False
 
     def open(self) -> None:
@@ -210,6 +208,12 @@
                 failures += 1
                 self._handler.call_lost(self.worker.id)
                 await self._take_failure(failures, error)
+            except Exception as error:
+                # Not held any more, the worker would stand idle for good.
+                failures += 1
+                self._note_fault(error)
+                unknown = endpoints.WorkerUnreachable('a fault')
+                await self._take_failure(failures, unknown)
             wait_ms = 0.0 if failures else self._wait_ms()
 
     def _wait_ms(self) -> float:
@@ -303,13 +307,15 @@
             return
         self._handler.start_sent(self.worker.id)
         fence = self._handler.fence()
-        reply = await self._client.start(
-            self.worker,
-            fence,
-            start.task,
-            start.attempt,
-            start.payload,
-            self._handler.order_validity_ms(self.worker.id),
+        reply = await self._reply_to(
+            self._client.start(
+                self.worker,
+                fence,
+                start.task,
+                start.attempt,
+                start.payload,
+                self._handler.order_validity_ms(self.worker.id),
+            )
         )
         self._take_reply(reply)
         on_reply(start, reply)
@@ -318,12 +324,28 @@
         self, stop: dispatching.StopTask, on_reply: typing.Any
     ) -> None:
         fence = self._handler.fence()
-        reply = await self._client.stop(
-            self.worker, fence, stop.task, stop.attempt
+        reply = await self._reply_to(
+            self._client.stop(self.worker, fence, stop.task, stop.attempt)
         )
         self._take_reply(reply)
         on_reply(stop, reply)
 
+    async def _reply_to(
+        self, order: collections.abc.Awaitable[model.OrderReply]
+    ) -> model.OrderReply:
+        """Returns the reply to an order; none is known after a fault.
+
+        Without any, its task would wait for good.
+        """
+        try:
+            return await order
+        except Exception as error:
+            self._note_fault(error)
+            return model.OrderReply(model.OrderResult.UNKNOWN)
+
+    def _note_fault(self, error: BaseException) -> None:
+        logs.fault(_LOG, 'worker_session_failed', error, worker=self.worker.id)
+
     def _concerns(self, row: model.EndedTask) -> bool:
         return self._handler.concerns(self.worker.id, row)
 
--- a/rosemaryroad/peers/_links.py
+++ b/rosemaryroad/peers/_links.py
@@ -183,8 +183,7 @@
                 many times in a row is encoded once.
         """
         for link in self._table.all_current():
-            message = make_message(link.vm)
-            link.tell(message, self._encode(message))
+            self._tell(link, make_message(link.vm))
 
     def tell(self, vm: str, message: model.JobMessage) -> bool:
         """Sends a peer a message that it doesn't answer.
@@ -195,8 +194,7 @@
         """
         if not self._table.is_linked(vm):
             return False
-        self._table.current(vm).tell(message, self._encode(message))
-        return True
+        return self._tell(self._table.current(vm), message)
 
     def drop(self, vm: str) -> None:
         """Ends all links to a peer, so that it is dialed anew.
@@ -255,6 +253,17 @@
             took_ms=self._clock.now() - began,
         )
 
+    def _tell(self, link: _link.Link, message: model.PeerMessage) -> bool:
+        try:
+            data = self._encode(message)
+        except Exception:
+            # One that can't be sent must not keep others from being sent.
+            kind = type(message).__name__
+            logs.fault(_LOG, 'peer_message_unsent', vm=link.vm, kind=kind)
+            return False
+        link.tell(message, data)
+        return True
+
     def _encode(self, message: model.PeerMessage) -> bytes:
         if message is not self._encoded:
             self._encoded_data = _codec.encode(message)
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -47,8 +47,9 @@
 # this one within a second of its start.
 _RETRY_MS = 500.0
 
-# How long a client waits that doesn't say so.
+# How long a client waits that doesn't say so, and the longest that one waits.
 _DEFAULT_LEFT_MS = 2_000.0
+_MOST_LEFT_MS = 3_600_000.0
 
 # What is left of it when the answer has travelled back, and a margin for
 # this VM being slow.
@@ -406,4 +407,4 @@
         return _DEFAULT_LEFT_MS
     if not math.isfinite(told) or told <= 0:
         return _DEFAULT_LEFT_MS
-    return max(1.0, told - _ANSWER_MS)
+    return max(1.0, min(told, _MOST_LEFT_MS) - _ANSWER_MS)
--- a/rosemaryroad/platform/_decoding.py
+++ b/rosemaryroad/platform/_decoding.py
@@ -4,11 +4,10 @@
 text that is no JSON. It names no queue and no worker then; the others hold.
 """
 
-import json
 import logging
-import math
 import typing
 
+from rosemaryroad import _json_values
 from rosemaryroad import logs
 from rosemaryroad import model
 
@@ -31,12 +30,12 @@
         The queues, or None where it can't be read at all.
     """
     try:
-        raw = _object(json.loads(text))
+        raw = _object(_json_values.load(text))
         version = _whole(raw, 'version')
         entries = raw.get('routes')
         if not isinstance(entries, list):
             raise _Damaged('routes')
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         _skipped('configuration', error)
         return None
     routes = []
@@ -61,10 +60,10 @@
     """
     domain = key.removeprefix(_DRAIN_PREFIX)
     try:
-        _object(json.loads(text))
+        _object(_json_values.load(text))
         if not domain:
             raise _Damaged('no failure domain')
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         _skipped(key, error)
         return None
     return domain
@@ -81,7 +80,7 @@
         The worker, or None where the entry names none.
     """
     try:
-        raw = _object(json.loads(text))
+        raw = _object(_json_values.load(text))
         state = _text(raw, 'state')
         if state not in _STATES:
             raise _Damaged(f'state {state[:40]!r}')
@@ -104,7 +103,7 @@
             born=read_born(raw),
             warm_up_left_ms=_number(raw, 'warmup_left_ms', 0.0),
         )
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         _skipped(key, error)
         return None
 
@@ -116,7 +115,7 @@
         Unix milliseconds, or None where it isn't told.
 
     Raises:
-        ValueError: It is no whole number.
+        ValueError: It is no whole number, or out of bounds.
     """
     return None if 'born' not in raw else _whole(raw, 'born')
 
@@ -146,7 +145,7 @@
 
 def _text(raw: dict[str, typing.Any], name: str) -> str:
     value = raw.get(name)
-    if not isinstance(value, str) or not value:
+    if not value or not _json_values.is_text(value):
         raise _Damaged(name)
     return value
 
@@ -155,9 +154,7 @@
     raw: dict[str, typing.Any], name: str, default: float | None = None
 ) -> float:
     value = raw.get(name, default)
-    if type(value) not in (int, float) or not math.isfinite(value):
-        raise _Damaged(name)
-    if value < 0:
+    if not _json_values.is_number(value):
         raise _Damaged(name)
     return float(value)
 
@@ -166,7 +163,7 @@
     raw: dict[str, typing.Any], name: str, default: int | None = None
 ) -> int:
     value = raw.get(name, default)
-    if type(value) is not int or value < 0:
+    if not _json_values.is_whole(value):
         raise _Damaged(name)
     return value
 
@@ -175,7 +172,7 @@
     labels = raw.get('labels', [])
     if not isinstance(labels, list):
         raise _Damaged('labels')
-    if not all(isinstance(label, str) for label in labels):
+    if not all(map(_json_values.is_text, labels)):
         raise _Damaged('labels')
     return tuple(labels)
 
--- a/rosemaryroad/platform/_http.py
+++ b/rosemaryroad/platform/_http.py
@@ -6,6 +6,7 @@
 import aiohttp
 import attrs
 
+from rosemaryroad import _json_values
 from rosemaryroad import errors
 from rosemaryroad import structure
 from rosemaryroad.platform import _sockets
@@ -64,7 +65,7 @@
             ValueError: It makes no sense.
         """
         try:
-            return structure.structure(json.loads(self.body), kind)
+            return structure.structure(_json_values.load(self.body), kind)
         except errors.CheckFailed as error:
             raise ValueError(str(error)) from error
 
--- a/rosemaryroad/platform/_job_bodies.py
+++ b/rosemaryroad/platform/_job_bodies.py
@@ -1,12 +1,16 @@
 """Jobs as callers hand them in, decoded."""
 
-import json
 import typing
 
+from rosemaryroad import _json_values
 from rosemaryroad import model
 
 _MILLI = 1000.0
 
+# A dispatcher keeps a state for each task; a job without bounds would take the
+# memory of all others. The largest that are planned for have 1,500.
+_MOST_TASKS = 20_000
+
 # Kinds of steps and jobs that aren't served yet; handed in, they are
 # refused as never run.
 _UNSERVED_JOB = ('repeat_count', 'long_running')
@@ -41,8 +45,8 @@
         Unserved: It isn't served here.
     """
     try:
-        raw = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        raw = _json_values.load(body)
+    except ValueError as error:
         raise Malformed('not JSON') from error
     if not isinstance(raw, dict) or not job_id:
         raise Malformed('not a job')
@@ -76,14 +80,13 @@
     count = _whole(step, 'count')
     if count < 1:
         raise Malformed('count')
-    payload = raw.get('spec', '')
-    if not isinstance(payload, str):
-        raise Malformed('spec')
+    if count > _MOST_TASKS:
+        raise Unserved(f'more than {_MOST_TASKS} tasks')
     return model.Job(
         id=job_id,
         queue=route.name,
         service=route.service,
-        payload=payload,
+        payload=_text(raw, 'spec'),
         tasks=count,
         needs=model.Needs(
             # "cpu" is in thousandths of a core.
@@ -104,13 +107,13 @@
     value = raw.get(name, 0)
     if type(value) is float and value.is_integer():
         value = int(value)
-    if type(value) is not int or value < 0:
+    if not _json_values.is_whole(value):
         raise Malformed(name)
     return value
 
 
 def _text(raw: dict[str, typing.Any], name: str) -> str:
     value = raw.get(name, '')
-    if not isinstance(value, str):
+    if not _json_values.is_text(value):
         raise Malformed(name)
     return value
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -13,6 +13,7 @@
 from rosemaryroad import model
 from rosemaryroad.platform import _decoding
 from rosemaryroad.platform import _http
+from rosemaryroad.platform import _report_bodies
 from rosemaryroad.platform import _sockets
 
 _MS_PER_SECOND = 1000.0
@@ -43,12 +44,6 @@
     'late': model.OrderResult.TOO_LATE,
     'fence': model.OrderResult.FENCED,
 }
-_END_BY_WORD = {
-    'done': model.TaskEnd.DONE,
-    'failed': model.TaskEnd.FAILED,
-    'stopped': model.TaskEnd.STOPPED,
-    'lapsed': model.TaskEnd.LAPSED,
-}
 
 
 @attrs.frozen
@@ -123,9 +118,11 @@
         if reply.status != http.HTTPStatus.OK:
             raise endpoints.WorkerUnreachable(f'status {reply.status}')
         try:
-            return _read_report(reply.body, asked_at)
-        except (ValueError, TypeError, KeyError) as error:
-            raise endpoints.WorkerUnreachable('no sound report') from error
+            return _report_bodies.read_report(reply.body, asked_at)
+        except ValueError as error:
+            raise endpoints.WorkerUnreachable(
+                f'no sound report: {error}'
+            ) from error
 
     async def start(
         self,
@@ -138,7 +135,7 @@
     ) -> model.OrderReply:
         """Starts an attempt; see the base class."""
         body = {
-            'task': _task_name(task),
+            'task': _report_bodies.task_name(task),
             'attempt': attempt,
             'spec': payload,
             # An order that is carried out seconds later is refused by it.
@@ -156,7 +153,7 @@
     ) -> model.OrderReply:
         """Stops an attempt; see the base class."""
         body = {
-            'task': _task_name(task),
+            'task': _report_bodies.task_name(task),
             'attempt': attempt,
             'fence': fence,
         }
@@ -190,8 +187,7 @@
             if payload.may_have_left:
                 return model.OrderReply(model.OrderResult.UNKNOWN)
             return model.OrderReply(model.OrderResult.NOT_SENT)
-        clock_ms = reply.body.get('clock_ms')
-        worker_clock = float(clock_ms) if _is_number(clock_ms) else 0.0
+        worker_clock = _report_bodies.read_clock(reply.body) or 0.0
         return model.OrderReply(_read_result(reply), worker_clock)
 
     async def _post(
@@ -217,20 +213,15 @@
         return self._read(worker, response.status, data)
 
     def _read(self, worker: model.Worker, status: int, data: bytes) -> _Reply:
-        try:
-            body = json.loads(data) if data else {}
-        except ValueError:
-            body = {}
-        if not isinstance(body, dict):
-            body = {}
+        body = _report_bodies.read_body(data)
         self._compare_clocks(worker, body)
         return _Reply(status, body)
 
     def _compare_clocks(
         self, worker: model.Worker, body: dict[str, typing.Any]
     ) -> None:
-        clock_ms = body.get('clock_ms')
-        if not _is_number(clock_ms):
+        clock_ms = _report_bodies.read_clock(body)
+        if clock_ms is None:
             return
         try:
             born = _decoding.read_born(body)
@@ -276,7 +267,7 @@
     if reply.status == http.HTTPStatus.OK:
         return model.OrderResult.DONE
     if reply.status == http.HTTPStatus.CONFLICT:
-        reason = reply.body.get('reason')
+        reason = _report_bodies.read_reason(reply.body)
         return _RESULT_BY_REASON.get(reason, model.OrderResult.INVALID)
     if reply.status == _MISDIRECTED:
         return model.OrderResult.WRONG_LIFE
@@ -288,48 +279,3 @@
     if reply.status == http.HTTPStatus.BAD_REQUEST:
         return model.OrderResult.INVALID
     return model.OrderResult.UNKNOWN
-
-
-def _read_report(
-    body: dict[str, typing.Any], asked_at: float
-) -> model.WorkerReport:
-    running = []
-    # A row is task, attempt, checkpoint, percent and, at times, a load.
-    for row in body['running']:
-        task = _read_task(row[0])
-        if task is not None:
-            running.append(model.RunningTask(task, int(row[1]), float(row[3])))
-    ended = []
-    # A row is number, task, attempt, how it ended, checkpoint.
-    for row in body['finished']:
-        task = _read_task(row[1])
-        if task is not None:
-            end = _END_BY_WORD.get(row[3], model.TaskEnd.OTHER)
-            ended.append(model.EndedTask(int(row[0]), task, int(row[2]), end))
-    return model.WorkerReport(
-        float(body['clock_ms']),
-        asked_at,
-        tuple(running),
-        tuple(ended),
-        born=_decoding.read_born(body),
-    )
-
-
-def _task_name(task: model.TaskId) -> str:
-    return f'{task.job}.{task.occurrence}.{task.step}.{task.index}'
-
-
-def _read_task(name: str) -> model.TaskId | None:
-    parts = name.split('.')
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
-        return None
-    return model.TaskId(
-        parts[0],
-        index=int(parts[3]),
-        step=int(parts[2]),
-        occurrence=int(parts[1]),
-    )
-
-
-def _is_number(value: object) -> bool:
-    return type(value) in (int, float)
--- a/rosemaryroad/platform/_row_reader.py
+++ b/rosemaryroad/platform/_row_reader.py
@@ -1,10 +1,14 @@
 """Rows of a table, decoded as they change."""
 
 import collections.abc
+import logging
 import typing
 
+from rosemaryroad import logs
 from rosemaryroad.platform import _table
 
+_LOG = logging.getLogger(__name__)
+
 _T = typing.TypeVar('_T')
 
 
@@ -32,6 +36,15 @@
         found: dict[tuple[str, str], _T | None] = {}
         for key, row in rows.items():
             text = (key, row.value)
-            found[text] = known[text] if text in known else self._decode(*text)
+            found[text] = known[text] if text in known else self._read(*text)
         self._value_by_row = found
         return tuple(value for value in found.values() if value is not None)
+
+    def _read(self, key: str, text: str) -> _T | None:
+        try:
+            return self._decode(key, text)
+        except Exception:
+            # Let through, it would keep all other rows from being known, for
+            # as long as this one stands.
+            logs.fault(_LOG, 'entry_fault', entry=key)
+            return None
--- a/rosemaryroad/platform/_store.py
+++ b/rosemaryroad/platform/_store.py
@@ -2,13 +2,13 @@
 
 import abc
 import base64
-import binascii
 import http
 import json
 import typing
 
 import attrs
 
+from rosemaryroad import _json_values
 from rosemaryroad import errors
 from rosemaryroad.platform import _http
 from rosemaryroad.platform import _table
@@ -189,7 +189,7 @@
 
 def _parse(reply: _http.Reply) -> dict[str, typing.Any]:
     try:
-        body = json.loads(reply.body)
+        body = _json_values.load(reply.body)
     except ValueError as error:
         raise errors.PlatformUnavailable('an answer of no sense') from error
     if not isinstance(body, dict) or not isinstance(body.get('rows'), list):
@@ -205,13 +205,13 @@
 
 def _version(body: dict[str, typing.Any]) -> int:
     version = body.get('schema_version')
-    if type(version) is not int:
+    if not _json_values.is_whole(version):
         raise errors.PlatformUnavailable('an answer without a version')
     return version
 
 
 def _is_row(item: object) -> bool:
-    return isinstance(item, dict) and isinstance(item.get('key'), str)
+    return isinstance(item, dict) and _json_values.is_text(item.get('key'))
 
 
 def _read_rows(body: dict[str, typing.Any]) -> list[_table.Row]:
@@ -225,7 +225,7 @@
         if not _is_row(item) or item.get('deleted') is True:
             continue
         version = item.get('schema_version')
-        if type(version) is not int:
+        if not _json_values.is_whole(version):
             continue
         rows.append(_table.Row(item['key'], _text(item.get('value')), version))
     return rows
@@ -236,5 +236,5 @@
         return ''
     try:
         return base64.b64decode(value, validate=True).decode()
-    except (binascii.Error, UnicodeDecodeError):
+    except ValueError:
         return ''
--- a/rosemaryroad/platform/_vms.py
+++ b/rosemaryroad/platform/_vms.py
@@ -2,10 +2,10 @@
 
 import abc
 import http
-import json
 
 import attrs
 
+from rosemaryroad import _json_values
 from rosemaryroad import errors
 from rosemaryroad.platform import _http
 from rosemaryroad.platform import _records
@@ -83,6 +83,6 @@
 
 def _parse(body: bytes) -> tuple[_records.VmRecord, ...]:
     try:
-        return _records.read_records(json.loads(body)['vms'])
+        return _records.read_records(_json_values.load(body)['vms'])
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise errors.PlatformUnavailable('no list of VMs') from error
--- a/rosemaryroad/structure.py
+++ b/rosemaryroad/structure.py
@@ -12,6 +12,7 @@
 import cattrs.errors
 import cattrs.gen
 
+from rosemaryroad import _json_values
 from rosemaryroad import errors
 
 __all__ = ['OMIT_DEFAULT', 'structure', 'unstructure']
@@ -39,17 +40,22 @@
         if type(value) is not kind and not number_for_float:
             found = type(value).__name__
             raise _WrongType(f'expected {kind.__name__}, found {found}')
-        return _finite(kind(value))
+        _check_bounds(value)
+        return kind(value)
 
     return read
 
 
-def _finite(value: object) -> object:
+def _check_bounds(value: object) -> None:
     # NaN passes no comparison and infinity passes every lower bound; a
-    # deadline of either would never end, so a submission would hang.
+    # deadline of either would never end, so a submission would hang. What
+    # can't be encoded or held by a float would fail where it is used.
     if isinstance(value, float) and not math.isfinite(value):
         raise ValueError('not a finite number')
-    return value
+    if type(value) is int and abs(value) > _json_values.MOST:
+        raise ValueError('out of bounds')
+    if isinstance(value, str) and not _json_values.is_text(value):
+        raise ValueError('not a text that can be encoded')
 
 
 def _read_enum(value: object, kind: type[enum.Enum]) -> enum.Enum:
--- a/tests/jobserver/test_following.py
+++ b/tests/jobserver/test_following.py
@@ -184,6 +184,36 @@
             await asyncio.sleep(0)
         self.assertLessEqual(known_at['leaving'], 3_000.0)
 
+    async def test_a_fault_in_taking_rows_in_does_not_end_the_following(
+        self,
+    ) -> None:
+        """It came again a second later each time, and no row was known."""
+        time = clock.ManualClock()
+        tables = _Written(time, [1_000.0, 2_000.0, 3_000.0])
+        told: list[int] = []
+
+        def on_rows(rows) -> None:
+            told.append(len(rows))
+            raise OverflowError('a row of another writer')
+
+        follower = _following.TableFollower(
+            tables,
+            'workers',
+            on_rows,
+            time,
+            random.Random(1),
+            _metrics.JobMetrics('entry-1'),
+            _node._WORKERS_WAIT_MS,
+        )
+        with self.assertLogs('rosemaryroad', 'ERROR'):
+            task = asyncio.create_task(follower.run())
+            for _ in range(_TURNS):
+                await asyncio.sleep(0)
+        self.assertFalse(task.done())
+        self.assertGreaterEqual(len(told), 4)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     async def test_a_long_rest_is_made_up_for_at_once(self) -> None:
         """A VM that has rested takes over, and a worker leaves meanwhile.
 
--- a/tests/jobserver/test_rows.py
+++ b/tests/jobserver/test_rows.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+from rosemaryroad import dispatching
 from rosemaryroad import model
 from rosemaryroad import platform
 from rosemaryroad.jobserver import _rows
@@ -61,6 +62,28 @@
         for one, other in zip(found, again, strict=True):
             self.assertIs(one, other)
 
+    def test_a_row_out_of_bounds_hides_no_other(self) -> None:
+        """Another writer's row ended what follows the entry VMs."""
+        for text in (
+            '[' * 100_000,
+            json.dumps(_vm('a') | {'cores': 10**400}),
+            json.dumps(_vm('a') | {'vm': '\ud800'}),
+        ):
+            rows = {
+                'vm/a': platform.Row('vm/a', text, 1),
+                'vm/b': _row('vm/b', _vm('b')),
+            }
+            with self.subTest(text[:40]):
+                [found] = self.rows.read(rows)
+                self.assertEqual('b', found.vm)
+
+    def test_a_term_or_a_division_out_of_bounds_is_none(self) -> None:
+        """Workers would keep the term, and VMs an election for each cell."""
+        term = _row('dispatcher', {'term': 10**400, 'vm': 'a'})
+        self.assertIsNone(_rows.read(term, dispatching.LeaseRow))
+        cells = _row('cells', {'count': 10**9})
+        self.assertIsNone(_rows.read(cells, dispatching.Cells))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_peers_links.py
+++ b/tests/test_peers_links.py
@@ -268,6 +268,18 @@
             answer = peers.decode(await self.within(connection.recv()))
         self.assertEqual((b'a:x',), answer.answer.results)
 
+    async def test_what_can_not_be_encoded_counts_as_not_sent(self) -> None:
+        """A home moves its jobs to another VM; one of them can't be sent.
+
+        The error kept all that came after it from being moved.
+        """
+        a, _ = await self.make_linked()
+        with self.assertLogs('rosemaryroad.peers', 'ERROR'):
+            sent = a.tell('b', model.JobWithdrawn('\ud800'))
+        self.assertFalse(sent)
+        self.assertTrue(a.tell('b', model.JobWithdrawn('j1')))
+        await self.assert_answers(a, 'b')
+
     async def test_heartbeats_reach_each_peer_with_its_own(self) -> None:
         a, on_a, _ = await self.make('a')
         _, on_b, at_b = await self.make('b')
