Remember how jobs have ended, so that a copy runs nothing

A cancel at another VM than the job's home was answered 410, and the job ran on.

Cause: an id was forgotten with the last client that waited for it, by the home and by the dispatcher. The second job_handed says attempt 0.

Evidence: the tasks were told to stop and stopped; each later start has its own task_ordered, after a second job_received.

Change: the home remembers what it has answered finally, the dispatcher what it has settled and what was cancelled, by queue and id, for two minutes and 50,000 jobs at most. A copy at any VM is answered as before. A home tells a new dispatcher what it remembers; it is lost only with both. A cancel elsewhere goes to the job's dispatcher, and is answered 503 where no VM can say whether the job is known. What runs of a cancelled job for another dispatcher is stopped. Refused, given up and withdrawn jobs may come again as before.

The new tests of home and dispatcher fail without the memory: they ask for methods and messages that weren't there.

Older versions leave the new messages aside; a home still sends the withdrawal first, which they know. The stand-in of test_leaving returns the answer that the interface has now in place of a bool; what it checks is as before.

Messages of homes are dispatched in one place, _home_messages.py, which the played service uses as well.

--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -14,6 +14,9 @@
 from rosemaryroad.dispatching._dispatcher import JobDispatcher
 from rosemaryroad.dispatching._drains import DrainBook
 from rosemaryroad.dispatching._drains import DrainChange
+from rosemaryroad.dispatching._ended import EndedJob
+from rosemaryroad.dispatching._ended import EndedJobs
+from rosemaryroad.dispatching._home_messages import take_message
 from rosemaryroad.dispatching._leadership import CLAIM_TIMEOUT_MS
 from rosemaryroad.dispatching._leadership import Leadership
 from rosemaryroad.dispatching._leadership import TICK_MS
@@ -49,6 +52,8 @@
     'DispatcherLoad',
     'DrainBook',
     'DrainChange',
+    'EndedJob',
+    'EndedJobs',
     'FirstDivision',
     'JobDispatcher',
     'KeyShare',
@@ -76,4 +81,5 @@
     'WorkerCondition',
     'cells_for',
     'share_by_room',
+    'take_message',
 ]
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -8,6 +8,7 @@
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
+from rosemaryroad.dispatching import _ended
 from rosemaryroad.dispatching import _forecast
 from rosemaryroad.dispatching import _paces
 from rosemaryroad.dispatching import _refusals
@@ -44,11 +45,13 @@
         remote_factor: How many times as long a task takes away from the
             rack where its data is.
         scheduling: How scarce or uneven room is shared out.
+        keep_ended_ms: For how long a job that has ended is remembered.
     """
 
     lease_ms: float = 1_000.0
     remote_factor: float = 3.0
     scheduling: _scheduling.SchedulingPolicy = _scheduling.SchedulingPolicy()
+    keep_ended_ms: float = 120_000.0
 
     @property
     def order_validity_ms(self) -> float:
@@ -105,6 +108,7 @@
         waiting: The jobs with waiting tasks, in order.
         jobs_by_id: All jobs that are not settled.
         workers_by_id: All workers that matter still.
+        ended: Jobs that have ended, and must not run again.
         expecting: Jobs that wait for reports of workers.
         orders_by_task: Every attempt that may run, by task and worker. A
             task is started only while it has none: two at a time would
@@ -146,6 +150,7 @@
         self.jobs_by_id: dict[str, _state.JobState] = {}
         self.workers_by_id: dict[str, _state.WorkerState] = {}
         self.orders_by_task: dict[model.TaskId, dict[str, _state.Order]] = {}
+        self.ended = _ended.EndedJobs(limits.keep_ended_ms)
         self.expecting: list[_state.JobState] = []
         self.pending_record_by_number: dict[int, _state.PendingRecord] = {}
         self.probe_by_number: dict[int, _state.Probe] = {}
@@ -346,6 +351,9 @@
         if state.news is not None:
             self._told.remove(state)
             state.news = None
+        if end.is_final:
+            ended = _ended.EndedJob(state.job.queue, end, False, now)
+            self.ended.add(state.job.id, ended, now)
         self.forget_job(state, cause, now)
 
     def refuse(
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -10,6 +10,7 @@
 from rosemaryroad.dispatching import _checks
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _draining
+from rosemaryroad.dispatching import _ending
 from rosemaryroad.dispatching import _foreign
 from rosemaryroad.dispatching import _handover
 from rosemaryroad.dispatching import _holding
@@ -135,6 +136,8 @@
     ) -> _Actions:
         """Takes a job in, or one more home of a job that is here."""
         context = self._context
+        if _ending.answer_ended(context, home, message, now):
+            return context.take_actions()
         known = context.jobs_by_id.get(message.job.id)
         if known is not None:
             known.deadline = max(known.deadline, now + message.left_ms)
@@ -182,6 +185,20 @@
         _queue.fill(self._context, now)
         return self._context.take_actions()
 
+    def cancel(
+        self, home: str, message: model.JobCancelled, now: float
+    ) -> _Actions:
+        """Ends a job for good, whichever its homes are."""
+        _ending.cancel(self._context, home, message, now)
+        _queue.fill(self._context, now)
+        return self._context.take_actions()
+
+    def jobs_ended(self, message: model.JobsEnded, now: float) -> _Actions:
+        """Takes in which jobs have ended before this dispatcher acted."""
+        _ending.take_ended(self._context, message, now)
+        _queue.fill(self._context, now)
+        return self._context.take_actions()
+
     def home_lost(self, home: str, now: float) -> _Actions:
         """Ends the jobs of an entry VM that can't be reached any more.
 
--- a/rosemaryroad/dispatching/_foreign.py
+++ b/rosemaryroad/dispatching/_foreign.py
@@ -34,6 +34,14 @@
             _stop_older_than_lease(context, worker, now)
 
 
+def stop_cancelled(context: _context.Context, job_id: str, now: float) -> None:
+    """Stops what runs of a cancelled job for another dispatcher."""
+    for worker in context.workers_by_id.values():
+        for order in _running(worker):
+            if order.task.job == job_id:
+                context.stop(worker, order, 'cancelled', now)
+
+
 def stop_unclaimed(
     context: _context.Context, worker: _state.WorkerState, now: float
 ) -> None:
--- a/rosemaryroad/dispatching/_reports.py
+++ b/rosemaryroad/dispatching/_reports.py
@@ -191,6 +191,8 @@
     context.add_order(worker, order)
     if state is None:
         _note_found(context, worker, order, 'no home here waits for it')
+        if context.ended.is_cancelled(row.task.job, now):
+            context.stop(worker, order, 'cancelled', now)
         return order
     if others or not adopt(state, worker, order):
         # The same task runs or starts elsewhere by our own order, or an
--- a/rosemaryroad/jobserver/_cell_dispatching.py
+++ b/rosemaryroad/jobserver/_cell_dispatching.py
@@ -79,18 +79,24 @@
         vm: str,
         message: model.JobSubmitted
         | model.JobWithdrawn
+        | model.JobCancelled
+        | model.JobsEnded
         | model.PlacementsRecorded,
     ) -> None:
         """Takes in what a home tells."""
         if self._cells is None:
             # It finds out by the next sign of life that none is here.
             return
-        job = (
-            message.job.id
-            if isinstance(message, model.JobSubmitted)
-            else message.job
-        )
-        self._parts[self._cells.of_job(job)].message(vm, message)
+        cell = self._cell_of(message)
+        if cell < len(self._parts):
+            self._parts[cell].message(vm, message)
+
+    def _cell_of(self, message: model.JobMessage) -> int:
+        if isinstance(message, model.JobsEnded):
+            return message.cell
+        if isinstance(message, model.JobSubmitted):
+            return self._cells.of_job(message.job.id)
+        return self._cells.of_job(message.job)
 
     def home_lost(self, vm: str) -> None:
         """Takes in that an entry VM can't be reached."""
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -104,22 +104,16 @@
 
     def message(self, vm: str, message: model.JobMessage) -> None:
         """Takes in what a home tells."""
-        now = self._clock.now()
-        dispatcher = self._dispatcher
-        # Without one, the home finds out by the next sign of life, and
-        # hands its jobs to whoever dispatches then.
-        if isinstance(message, model.JobSubmitted):
-            if dispatcher is not None:
-                self._carry_out(dispatcher.submit(vm, message, now))
-        elif isinstance(message, model.PlacementsRecorded):
-            if dispatcher is not None:
-                actions = dispatcher.placements_recorded(vm, message, now)
-                self._carry_out(actions)
-        elif isinstance(message, model.JobWithdrawn):
-            if dispatcher is not None:
-                self._carry_out(dispatcher.withdraw(vm, message.job, now))
-            if message.release:
-                self._send(vm, model.JobReleased(message.job))
+        # Without a dispatcher, the home finds out by the next sign of life,
+        # and hands its jobs to whoever dispatches then.
+        if self._dispatcher is not None:
+            now = self._clock.now()
+            actions = dispatching.take_message(
+                message, self._dispatcher, vm, now
+            )
+            self._carry_out(actions)
+        if isinstance(message, model.JobWithdrawn) and message.release:
+            self._send(vm, model.JobReleased(message.job))
 
     def home_lost(self, vm: str) -> None:
         """Takes in that an entry VM can't be reached."""
--- a/rosemaryroad/jobserver/_front.py
+++ b/rosemaryroad/jobserver/_front.py
@@ -59,7 +59,7 @@
 
     def has_time_for(self, job: model.Job) -> bool:
         """Tells whether a job may end here before the daemon has to."""
-        if self.ends_at is None or self._home.holds(job.id):
+        if self.ends_at is None or self._home.knows(job):
             # Of one that is here already, "not run" may be false.
             return True
         objective_ms = job.terms.objective_ms(job.estimate_ms)
@@ -136,9 +136,9 @@
         """Tells whether a job has started; None for one that isn't here."""
         return self._home.state_of(job_id)
 
-    def cancel(self, job_id: str) -> bool:
-        """Ends a job; tells whether it was here."""
-        return self._home.cancel(job_id)
+    async def cancel(self, job_id: str, queue: str) -> jobservice.CancelEnd:
+        """Ends a job, wherever it is; see the base class."""
+        return await self._home.cancel(job_id, queue)
 
     def drained_domains(self) -> tuple[jobservice.DrainedDomain, ...]:
         """Returns the failure domains that are drained."""
--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -11,6 +11,8 @@
 from rosemaryroad import jobservice
 from rosemaryroad import logs
 from rosemaryroad import model
+from rosemaryroad.jobserver import _cancels
+from rosemaryroad.jobserver import _ended
 
 _LOG = logging.getLogger(__name__)
 _MS_PER_SECOND = 1000.0
@@ -54,6 +56,7 @@
         send: Sends a message to a VM, this one included; tells whether
             there was a way.
         failure_domain: Where this VM stands.
+        keep_ended_ms: For how long a job that has ended is remembered.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         clock: clock_module.Clock,
         send: _Send,
         failure_domain: str = '',
+        keep_ended_ms: float = 120_000.0,
     ) -> None:
         self._vm = vm
         self._failure_domain = failure_domain
@@ -71,15 +75,18 @@
         self._dispatcher_by_cell: dict[int, str] = {}
         self._alone_since_by_cell: dict[int, float] = {}
         self._held_by_id: dict[str, _Held] = {}
+        self._answered = _ended.AnsweredJobs(clock, keep_ended_ms)
+        self._cancels = _cancels.RemoteCancels(send)
 
     @property
     def jobs_held(self) -> int:
         """How many jobs wait for their end here."""
         return len(self._held_by_id)
 
-    def holds(self, job_id: str) -> bool:
-        """Tells whether a job waits for its end here."""
-        return job_id in self._held_by_id
+    def knows(self, job: model.Job) -> bool:
+        """Tells whether a job waits for its end here, or has had it."""
+        ended = self._answered.find(job.id, job.queue)
+        return job.id in self._held_by_id or ended is not None
 
     def state_of(self, job_id: str) -> bool | None:
         """Tells whether a job has started; None for one that isn't here."""
@@ -98,12 +105,16 @@
     ) -> jobservice.JobAnswer:
         """Has a job done and returns how it ended.
 
-        A job that is here already is waited for, not done a second time.
+        A job that is here already is waited for, not done a second time. One
+        that has ended is answered as before, and nothing of it runs.
 
         Args:
             job: The job.
             left_ms: How long the client waits.
         """
+        ended = self._answered.find(job.id, job.queue)
+        if ended is not None:
+            return jobservice.JobAnswer(ended.end, 'ended before')
         held = self._held_by_id.get(job.id)
         if held is None:
             held = self._take_in(job, left_ms)
@@ -121,16 +132,32 @@
             if held.callers == 0 and not held.answer.done():
                 self._withdraw(held, cause)
 
-    def cancel(self, job_id: str) -> bool:
-        """Ends a job; tells whether it was here."""
+    async def cancel(self, job_id: str, queue: str) -> jobservice.CancelEnd:
+        """Ends a job, wherever it is; it never runs from then on.
+
+        Args:
+            job_id: The job's id.
+            queue: The name of its queue.
+        """
+        ended = self._answered.find(job_id, queue)
+        if ended is not None and ended.is_cancelled:
+            return jobservice.CancelEnd.DONE
+        if ended is not None:
+            return jobservice.CancelEnd.UNKNOWN
         held = self._held_by_id.get(job_id)
-        if held is None:
-            return False
-        self._withdraw(held, 'cancelled')
-        held.answer.set_result(
-            jobservice.JobAnswer(model.JobEnd.FAILED, 'cancelled')
-        )
-        return True
+        if held is not None and held.job.queue == queue:
+            self._cancel_held(held)
+            return jobservice.CancelEnd.DONE
+        dispatcher = self._dispatcher_of(job_id)
+        end = await self._cancels.pass_on(job_id, queue, dispatcher)
+        if end is not jobservice.CancelEnd.UNCERTAIN:
+            failed = model.JobEnd.FAILED
+            self._answered.add(job_id, queue, failed, is_cancelled=True)
+        return end
+
+    def cancel_answered(self, message: model.CancelAnswered) -> None:
+        """Takes in what a dispatcher says of a job that isn't held here."""
+        self._cancels.answered(message)
 
     def divide(self, cells: dispatching.Cells) -> None:
         """Takes in how jobs are divided among dispatchers."""
@@ -143,8 +170,12 @@
         self._dispatcher_by_cell[cell] = dispatcher
         if not dispatcher:
             self._alone_since_by_cell[cell] = self._clock.now()
+        else:
+            # Before its jobs: copies of these start nothing.
+            for message in self._answered.messages(cell, self._cell_of):
+                self._send(dispatcher, message)
         for held in list(self._held_by_id.values()):
-            if self._cell_of(held) == cell:
+            if self._cell_of(held.job.id) == cell:
                 self._move(held)
 
     def hand_again(self) -> None:
@@ -158,7 +189,7 @@
                 self._lost_touch(held)
             if held.handed_to:
                 continue
-            if self._dispatcher_of(held):
+            if self._dispatcher_of(held.job.id):
                 self._hand(held)
             elif now - self._alone_since(held) > _NO_DISPATCHER_MS:
                 self._end(held, _unserved(held, 'no dispatcher'))
@@ -176,7 +207,7 @@
             return
         held.leaves_since = None
         held.handed_to = ''
-        if self._dispatcher_of(held):
+        if self._dispatcher_of(held.job.id):
             self._hand(held)
 
     def progressed(self, vm: str, message: model.JobProgress) -> None:
@@ -214,6 +245,11 @@
         self._end(
             held, jobservice.JobAnswer(end, 'settled', message.retry_after_ms)
         )
+        dispatcher = self._dispatcher_of(message.job)
+        if end.is_final and dispatcher not in ('', vm):
+            # One that came after the sender hears of the end here only.
+            cell = self._cell_of(message.job)
+            self._send(dispatcher, self._answered.message(held.job, cell))
 
     def give_up_held(self) -> None:
         """Answers the clients whose jobs can't end here any more."""
@@ -231,16 +267,28 @@
             )
             self._end(held, _unserved(held, 'shut down'))
 
-    def _cell_of(self, held: _Held) -> int | None:
+    def _cell_of(self, job_id: str) -> int | None:
         if self._cells is None:
             return None
-        return self._cells.of_job(held.job.id)
+        return self._cells.of_job(job_id)
 
-    def _dispatcher_of(self, held: _Held) -> str:
-        return self._dispatcher_by_cell.get(self._cell_of(held), '')
+    def _dispatcher_of(self, job_id: str) -> str:
+        return self._dispatcher_by_cell.get(self._cell_of(job_id), '')
+
+    def _cancel_held(self, held: _Held) -> None:
+        job = held.job
+        failed = model.JobEnd.FAILED
+        self._answered.add(job.id, job.queue, failed, is_cancelled=True)
+        dispatchers = {held.handed_to, self._dispatcher_of(job.id)} - {''}
+        # Versions that don't know cancels have this message.
+        self._withdraw(held, 'cancelled')
+        for dispatcher in sorted(dispatchers):
+            cancelled = model.JobCancelled(job.id, job.queue)
+            self._send(dispatcher, cancelled)
+        held.answer.set_result(jobservice.JobAnswer(failed, 'cancelled'))
 
     def _alone_since(self, held: _Held) -> float:
-        since = self._alone_since_by_cell.get(self._cell_of(held), 0.0)
+        since = self._alone_since_by_cell.get(self._cell_of(held.job.id), 0.0)
         return max(held.arrived, since)
 
     def _take_in(self, job: model.Job, left_ms: float) -> _Held:
@@ -248,7 +296,7 @@
         answer = asyncio.get_running_loop().create_future()
         held = _Held(job, now, now + left_ms, answer)
         self._held_by_id[job.id] = held
-        if self._dispatcher_of(held):
+        if self._dispatcher_of(held.job.id):
             self._hand(held)
         return held
 
@@ -269,7 +317,7 @@
             self._failure_domain,
         )
         # Set first: a dispatcher in this very process answers at once.
-        dispatcher = self._dispatcher_of(held)
+        dispatcher = self._dispatcher_of(held.job.id)
         held.handed_to = dispatcher
         held.handed_ever = True
         sent = self._send(dispatcher, message)
@@ -288,7 +336,7 @@
         )
 
     def _move(self, held: _Held) -> None:
-        dispatcher = self._dispatcher_of(held)
+        dispatcher = self._dispatcher_of(held.job.id)
         if not dispatcher or held.handed_to == dispatcher:
             return
         if not held.handed_to:
@@ -308,7 +356,7 @@
         held.leaves_since = None
         held.handed_to = ''
         held.attempt = max(held.attempt, 1)
-        if self._dispatcher_of(held):
+        if self._dispatcher_of(held.job.id):
             self._hand(held)
 
     def _withdraw(self, held: _Held, cause: str) -> None:
@@ -326,6 +374,8 @@
 
     def _end(self, held: _Held, answer: jobservice.JobAnswer) -> None:
         self._held_by_id.pop(held.job.id, None)
+        if answer.end.is_final:
+            self._answered.add(held.job.id, held.job.queue, answer.end)
         if not held.answer.done():
             held.answer.set_result(answer)
 
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -106,7 +106,11 @@
         self.queues = _queues.QueueBook()
         self._drains = dispatching.DrainBook()
         self._home = _home.JobHome(
-            settings.vm, clock, self._send, settings.failure_domain
+            settings.vm,
+            clock,
+            self._send,
+            settings.failure_domain,
+            settings.times.keep_ended_ms,
         )
         self._dispatching = _cell_dispatching.CellDispatching(
             self._make_dispatching
@@ -277,6 +281,8 @@
             self._home.settled(vm, message)
         elif isinstance(message, model.JobReleased):
             self._home.released(vm, message)
+        elif isinstance(message, model.CancelAnswered):
+            self._home.cancel_answered(message)
         else:
             self._dispatching.message(vm, message)
 
@@ -349,6 +355,7 @@
                 times.lease_ms,
                 times.remote_factor,
                 self._settings.scheduling,
+                times.keep_ended_ms,
             ),
             self._clock,
             self._send,
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -211,6 +211,7 @@
             except Exception as error:
                 # Not held any more, the worker would stand idle for good.
                 failures += 1
+                self._acknowledged.call_lost()
                 self._note_fault(error)
                 unknown = endpoints.WorkerUnreachable('a fault')
                 await self._take_failure(failures, unknown)
--- a/rosemaryroad/jobserver/_settings.py
+++ b/rosemaryroad/jobserver/_settings.py
@@ -59,6 +59,8 @@
         drain_ms: How long a leaving daemon may go on for its callers.
         remote_factor: How many times as long a task takes away from the
             rack where its data is.
+        keep_ended_ms: For how long a job that has ended is remembered; its
+            request may come again meanwhile.
     """
 
     lease_ms: float = attrs.field(
@@ -72,6 +74,10 @@
     remote_factor: float = attrs.field(
         default=3.0, validator=_settings_parts.between(1.0, 1_000.0)
     )
+    keep_ended_ms: float = attrs.field(
+        default=120_000.0,
+        validator=_settings_parts.between(0.0, 10 * _MS_PER_MINUTE),
+    )
 
 
 @attrs.frozen
--- a/rosemaryroad/jobservice.py
+++ b/rosemaryroad/jobservice.py
@@ -1,13 +1,34 @@
 """What a daemon offers to whoever speaks to callers of jobs."""
 
 import abc
+import enum
 
 import attrs
 
 from rosemaryroad import dispatching
 from rosemaryroad import model
 
-__all__ = ['DrainedDomain', 'JobAnswer', 'JobService', 'QueueMatch']
+__all__ = [
+    'CancelEnd',
+    'DrainedDomain',
+    'JobAnswer',
+    'JobService',
+    'QueueMatch',
+]
+
+
+class CancelEnd(enum.StrEnum):
+    """What became of a client's wish to cancel a job.
+
+    Attributes:
+        DONE: It is cancelled.
+        UNKNOWN: There is no such job, or it has ended.
+        UNCERTAIN: Another entry VM that can't be asked may have it.
+    """
+
+    DONE = 'done'
+    UNKNOWN = 'unknown'
+    UNCERTAIN = 'uncertain'
 
 
 @attrs.frozen
@@ -101,8 +122,13 @@
         """Tells whether a job has started; None for one that isn't here."""
 
     @abc.abstractmethod
-    def cancel(self, job_id: str) -> bool:
-        """Ends a job; tells whether it was here."""
+    async def cancel(self, job_id: str, queue: str) -> CancelEnd:
+        """Ends a job, wherever it is; it never runs from then on.
+
+        Args:
+            job_id: The job's id.
+            queue: The name of its queue.
+        """
 
     @abc.abstractmethod
     def drained_domains(self) -> tuple[DrainedDomain, ...]:
--- a/rosemaryroad/model/_job_messages.py
+++ b/rosemaryroad/model/_job_messages.py
@@ -253,6 +253,68 @@
     retry_after_ms: float = 0.0
 
 
+@attrs.frozen
+class JobCancelled:
+    """A client has cancelled a job, which never runs from now on.
+
+    Attributes:
+        job: The job's id.
+        queue: Its queue.
+        number: Identifies the answer that is awaited; 0 if none is.
+    """
+
+    job: str
+    queue: str
+    number: int = 0
+
+
+@attrs.frozen
+class CancelAnswered:
+    """The dispatcher has taken in that a job was cancelled.
+
+    Attributes:
+        number: The number of the message that it answers.
+        is_known: Whether the job was here, or was known to be cancelled.
+        is_certain: Whether no other dispatcher may have the job.
+    """
+
+    number: int
+    is_known: bool
+    is_certain: bool
+
+
+@attrs.frozen
+class EndedJob:
+    """A job that has ended for good, as a home tells a new dispatcher.
+
+    Attributes:
+        job: The job's id.
+        queue: Its queue.
+        end: What its clients were told.
+        is_cancelled: Whether its client has taken it back.
+        age_ms: How long ago it ended.
+    """
+
+    job: str
+    queue: str
+    end: _jobs.JobEnd
+    is_cancelled: bool
+    age_ms: float
+
+
+@attrs.frozen
+class JobsEnded:
+    """A home tells a new dispatcher which jobs must not run again.
+
+    Attributes:
+        cell: The cell of all of them.
+        jobs: The jobs.
+    """
+
+    cell: int
+    jobs: tuple[EndedJob, ...]
+
+
 JobMessage: typing.TypeAlias = (
     Pulses
     | QueuesShared
@@ -263,4 +325,7 @@
     | JobProgress
     | PlacementsRecorded
     | JobSettled
+    | JobCancelled
+    | CancelAnswered
+    | JobsEnded
 )
--- a/rosemaryroad/model/_jobs.py
+++ b/rosemaryroad/model/_jobs.py
@@ -235,6 +235,11 @@
     NOT_RUN = 'not_run'
     GIVEN_UP = 'given_up'
 
+    @property
+    def is_final(self) -> bool:
+        """Whether its caller has no cause to hand it in once more."""
+        return self in (JobEnd.COMPLETED, JobEnd.FAILED)
+
 
 @attrs.frozen
 class QueueRoute:
--- a/rosemaryroad/peers/_codec.py
+++ b/rosemaryroad/peers/_codec.py
@@ -39,6 +39,9 @@
     model.DirectoryShared: 13,
     model.Pulses: 14,
     model.PlacementsRecorded: 15,
+    model.JobCancelled: 16,
+    model.CancelAnswered: 17,
+    model.JobsEnded: 18,
 }
 _PLAIN = (int, float, str, bool, bytes)
 _TYPE_BY_KIND = {kind: cls for cls, kind in _KIND_BY_TYPE.items()}
--- a/rosemaryroad/platform/_callers.py
+++ b/rosemaryroad/platform/_callers.py
@@ -343,9 +343,14 @@
     async def _delete(
         self, _: web.BaseRequest, match: jobservice.QueueMatch
     ) -> web.Response:
-        if self._front.cancel(match.rest):
+        end = await self._front.cancel(match.rest, match.route.name)
+        if end is jobservice.CancelEnd.DONE:
             return _json(http.HTTPStatus.OK, {})
-        return _empty(http.HTTPStatus.GONE)
+        if end is jobservice.CancelEnd.UNKNOWN:
+            return _empty(http.HTTPStatus.GONE)
+        return _empty(
+            http.HTTPStatus.SERVICE_UNAVAILABLE, _retry_after(_RETRY_MS)
+        )
 
     def _answer(self, answer: jobservice.JobAnswer) -> web.Response:
         status = _STATUS_BY_END[answer.end]
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -765,29 +765,20 @@
             vm.home.settled(sender, message)
         elif isinstance(message, model.JobReleased):
             vm.home.released(sender, message)
+        elif isinstance(message, model.CancelAnswered):
+            vm.home.cancel_answered(message)
         else:
             self._take_as_dispatcher(vm, sender, message)
 
     def _take_as_dispatcher(
         self, vm: _Vm, sender: str, message: object
     ) -> None:
-        dispatcher = vm.dispatcher
-        if isinstance(message, model.JobSubmitted):
-            if dispatcher is not None:
-                actions = dispatcher.submit(sender, message, self.now)
-                self._carry_out(vm, actions)
-            return
-        if isinstance(message, model.PlacementsRecorded):
-            if dispatcher is not None:
-                actions = dispatcher.placements_recorded(
-                    sender, message, self.now
-                )
-                self._carry_out(vm, actions)
-            return
-        if dispatcher is not None:
-            actions = dispatcher.withdraw(sender, message.job, self.now)
+        if vm.dispatcher is not None:
+            actions = dispatching.take_message(
+                message, vm.dispatcher, sender, self.now
+            )
             self._carry_out(vm, actions)
-        if message.release:
+        if isinstance(message, model.JobWithdrawn) and message.release:
             self._send(vm.name, sender, model.JobReleased(message.job))
 
     # Orders.
--- a/tests/jobserver/test_home.py
+++ b/tests/jobserver/test_home.py
@@ -6,15 +6,14 @@
 from rosemaryroad import clock
 from rosemaryroad import dispatching
 from rosemaryroad import jobserver
+from rosemaryroad import jobservice
 from rosemaryroad import model
 from tests.dispatching import case
 
 _LONG_MS = 60_000.0
 
 
-class HomeTest(unittest.IsolatedAsyncioTestCase):
-    """A job is in one dispatcher's hands, and its client hears the truth."""
-
+class _HomeCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.clock = clock.ManualClock(1_000.0)
         self.sent: list[tuple[str, model.JobMessage]] = []
@@ -43,6 +42,10 @@
     def _settle(self, vm: str, end: model.JobEnd) -> None:
         self.home.settled(vm, model.JobSettled('j1', end, 500.0))
 
+
+class HomeTest(_HomeCase):
+    """A job is in one dispatcher's hands, and its client hears the truth."""
+
     async def test_a_job_changes_hands_only_when_let_go(self) -> None:
         """Another VM becomes the dispatcher while a job is handed over.
 
@@ -254,3 +257,122 @@
         self.home.give_up_held()
         self.assertIs(model.JobEnd.GIVEN_UP, (await answer).end)
         self.assertEqual(0, self.home.jobs_held)
+
+
+class EndedTest(_HomeCase):
+    """A job that has ended comes again, or is cancelled elsewhere."""
+
+    async def _cancel(self, job_id: str = 'j1') -> asyncio.Task:
+        task = asyncio.create_task(self.home.cancel(job_id, case.QUEUE))
+        await asyncio.sleep(0)
+        return task
+
+    async def test_a_copy_of_a_cancelled_job_is_not_handed_over(self) -> None:
+        """It came 4 s after the cancel was answered, and ran to its end."""
+        answer = await self._submit()
+        cancelled = await (await self._cancel())
+        self.assertIs(jobservice.CancelEnd.DONE, cancelled)
+        self.assertIs(model.JobEnd.FAILED, (await answer).end)
+        self._sent(model.JobSubmitted)
+        self.clock.advance(4_000)
+        again = await self._submit()
+        self.assertIs(model.JobEnd.FAILED, (await again).end)
+        self.assertEqual([], self._sent(model.JobSubmitted))
+
+    async def test_a_copy_of_a_completed_job_is_answered_as_before(
+        self,
+    ) -> None:
+        """Its tasks ran a second time."""
+        answer = await self._submit()
+        self._settle('d1', model.JobEnd.COMPLETED)
+        await answer
+        self._sent(model.JobSubmitted)
+        again = await self._submit()
+        self.assertIs(model.JobEnd.COMPLETED, (await again).end)
+        self.assertEqual([], self._sent(model.JobSubmitted))
+
+    async def test_a_job_that_was_given_up_may_come_again(self) -> None:
+        for end in (model.JobEnd.GIVEN_UP, model.JobEnd.NOT_RUN):
+            answer = await self._submit()
+            self._settle('d1', end)
+            await answer
+            self.assertEqual(1, len(self._sent(model.JobSubmitted)))
+
+    async def test_it_is_forgotten_in_time(self) -> None:
+        answer = await self._submit()
+        self._settle('d1', model.JobEnd.COMPLETED)
+        await answer
+        self.clock.advance(120_000)
+        self._sent(model.JobSubmitted)
+        await self._submit()
+        self.assertEqual(1, len(self._sent(model.JobSubmitted)))
+
+    async def test_a_new_dispatcher_hears_of_it(self) -> None:
+        """The dispatcher is killed; a copy comes to another VM."""
+        await self._submit()
+        await (await self._cancel())
+        self.clock.advance(500)
+        self.home.follow(0, 'd2')
+        [(vm, ended)] = self._sent(model.JobsEnded)
+        self.assertEqual('d2', vm)
+        [item] = ended.jobs
+        self.assertEqual(('j1', True), (item.job, item.is_cancelled))
+        self.assertEqual(500.0, item.age_ms)
+
+    async def test_one_that_takes_over_hears_of_a_cancel(self) -> None:
+        """It is cancelled while the dispatcher before lets go of it."""
+        await self._submit()
+        self.home.follow(0, 'd2')
+        await (await self._cancel())
+        told = {vm for vm, _ in self._sent(model.JobCancelled)}
+        self.assertEqual({'d1', 'd2'}, told)
+
+    async def test_one_that_takes_over_hears_of_an_end(self) -> None:
+        """The dispatcher before it settles a job while it lets go of it."""
+        await self._submit()
+        self.home.follow(0, 'd2')
+        self._settle('d1', model.JobEnd.COMPLETED)
+        [(vm, ended)] = self._sent(model.JobsEnded)
+        self.assertEqual(('d2', 'j1'), (vm, ended.jobs[0].job))
+
+    async def test_versions_without_cancels_hear_that_it_is_withdrawn(
+        self,
+    ) -> None:
+        """During a rolling restart its tasks would run on."""
+        await self._submit()
+        self._sent(model.JobSubmitted)
+        await (await self._cancel())
+        kinds = [type(message) for _, message in self.sent]
+        self.assertEqual([model.JobWithdrawn, model.JobCancelled], kinds)
+
+    async def _cancel_elsewhere(self, **fields) -> jobservice.CancelEnd:
+        task = await self._cancel('j9')
+        [(vm, message)] = self._sent(model.JobCancelled)
+        self.assertEqual(('d1', 'j9'), (vm, message.job))
+        self.home.cancel_answered(
+            model.CancelAnswered(message.number, **fields)
+        )
+        return await task
+
+    async def test_a_cancel_of_a_job_at_another_vm_is_passed_on(self) -> None:
+        """It was answered 410 at once, and the job ran on."""
+        for end, is_known, is_certain in (
+            (jobservice.CancelEnd.UNCERTAIN, False, False),
+            (jobservice.CancelEnd.DONE, True, True),
+        ):
+            found = await self._cancel_elsewhere(
+                is_known=is_known, is_certain=is_certain
+            )
+            self.assertIs(end, found)
+        again = await (await self._cancel('j9'))
+        self.assertIs(jobservice.CancelEnd.DONE, again)
+
+    async def test_a_cancel_of_an_unknown_job_is_told_as_such(self) -> None:
+        found = await self._cancel_elsewhere(is_known=False, is_certain=True)
+        self.assertIs(jobservice.CancelEnd.UNKNOWN, found)
+
+    async def test_without_a_dispatcher_a_cancel_is_uncertain(self) -> None:
+        """Acknowledged behind a cut, the job would run on beyond it."""
+        self.home.follow(0, '')
+        found = await (await self._cancel('j9'))
+        self.assertIs(jobservice.CancelEnd.UNCERTAIN, found)
--- a/tests/platform_adapter/test_leaving.py
+++ b/tests/platform_adapter/test_leaving.py
@@ -113,7 +113,7 @@
         )
         self.front.has_time_for.return_value = False
         self.front.state_of.return_value = None
-        self.front.cancel.return_value = False
+        self.front.cancel.return_value = jobservice.CancelEnd.UNKNOWN
         self.front.pending.return_value = 0
         self.metrics = 'm 1\n'
         self.server = _callers.CallersServer()
--- a/tests/processes/test_jobs.py
+++ b/tests/processes/test_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 
+from harness import jobs
 from tests.processes import job_case
 from tests.standins import job_minion
 
@@ -64,6 +65,29 @@
             status, _ = await self.submit(daemon)
             self.assertEqual(404, status)
 
+    async def test_a_cancelled_job_runs_nowhere_again(self) -> None:
+        """It is cancelled at another VM, and a copy comes to a third.
+
+        The cancel was answered 410 there, and the copy ran to its end.
+        """
+        home, other, third = self.daemons
+        job_id = 'c' * 16
+        url = f'http://{other.callers}{job_case.PREFIX}{job_id}'
+        headers = {'Host': jobs.HOST}
+        for minion in self.minions:
+            minion.faults.hang = True
+        posted = asyncio.create_task(self.submit(home, job_id))
+        while not any(minion.runs for minion in self.minions):
+            await asyncio.sleep(0.02)
+        async with self.session.delete(url, headers=headers) as reply:
+            self.assertEqual(200, reply.status)
+        failed = (200, {'state': 'failed'})
+        self.assertEqual(failed, await posted)
+        ran = sum(len(minion.runs) for minion in self.minions)
+        self.assertEqual(failed, await self.submit(third, job_id))
+        self.assertEqual(failed, await self.submit(home, job_id))
+        self.assertEqual(ran, sum(len(m.runs) for m in self.minions))
+
     async def test_the_dispatcher_is_killed(self) -> None:
         """The process that orders all tasks ends under load.
 
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -94,6 +94,14 @@
     )
     | strategies.builds(model.JobProgress)
     | strategies.builds(model.JobSettled, retry_after_ms=_MS)
+    | strategies.builds(model.JobCancelled)
+    | strategies.builds(model.CancelAnswered)
+    | strategies.builds(
+        model.JobsEnded,
+        jobs=strategies.lists(
+            strategies.builds(model.EndedJob, age_ms=_MS), max_size=2
+        ).map(tuple),
+    )
 )
 
 
