Keep a completed job from being taken for a cancelled one

Cause: a home that passes a cancel on, and hears that the job isn't known or has ended, remembered it as cancelled. Of a job that had completed at another VM a copy there would have been answered failed, though its client had the result.

Change: it remembers only what the dispatcher has cancelled.

--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -150,7 +150,7 @@
             return jobservice.CancelEnd.DONE
         dispatcher = self._dispatcher_of(job_id)
         end = await self._cancels.pass_on(job_id, queue, dispatcher)
-        if end is not jobservice.CancelEnd.UNCERTAIN:
+        if end is jobservice.CancelEnd.DONE:
             failed = model.JobEnd.FAILED
             self._answered.add(job_id, queue, failed, is_cancelled=True)
         return end
--- a/tests/jobserver/test_home.py
+++ b/tests/jobserver/test_home.py
@@ -33,8 +33,8 @@
         self.sent = [item for item in self.sent if item not in found]
         return found
 
-    async def _submit(self, **fields) -> asyncio.Task:
-        job = case.make_job('j1', **fields)
+    async def _submit(self, job_id: str = 'j1', **fields) -> asyncio.Task:
+        job = case.make_job(job_id, **fields)
         task = asyncio.create_task(self.home.submit(job, _LONG_MS))
         await asyncio.sleep(0)
         return task
@@ -371,6 +371,15 @@
         found = await self._cancel_elsewhere(is_known=False, is_certain=True)
         self.assertIs(jobservice.CancelEnd.UNKNOWN, found)
 
+    async def test_a_completed_job_is_not_taken_for_cancelled(self) -> None:
+        """A cancel comes too late, and to another VM than the job's home.
+
+        A copy of the job there would be told that it has failed.
+        """
+        await self._cancel_elsewhere(is_known=False, is_certain=True)
+        await self._submit('j9')
+        self.assertEqual(1, len(self._sent(model.JobSubmitted)))
+
     async def test_without_a_dispatcher_a_cancel_is_uncertain(self) -> None:
         """Acknowledged behind a cut, the job would run on beyond it."""
         self.home.follow(0, '')
