--- a/rosemaryroad/_json_values.py
+++ b/rosemaryroad/_json_values.py
@@ -7,7 +7,6 @@
 """
 
 import json
-import math
 import typing
 
 # Whole numbers beyond this aren't exact in other programs (RFC 8259).
@@ -38,30 +37,14 @@
     return True
 
 
-def is_whole(value: object, least: int = 0) -> bool:
-    """Tells whether a value is a whole number within bounds.
-
-    Args:
-        value: The value.
-        least: The least allowed.
-    """
-    return type(value) is int and least <= value <= MOST
+def is_whole(value: object) -> bool:
+    """Tells whether a value is a whole number within bounds."""
+    return type(value) is int and 0 <= value <= MOST
 
 
-def is_number(value: object, least: float = 0.0) -> bool:
-    """Tells whether a value is a finite number within bounds.
-
-    Args:
-        value: The value.
-        least: The least allowed.
-    """
-    if type(value) is int:
-        return least <= value <= MOST
-    return (
-        type(value) is float
-        and math.isfinite(value)
-        and least <= value <= MOST
-    )
+def is_number(value: object) -> bool:
+    """Tells whether a value is a number within bounds; NaN isn't."""
+    return type(value) in (int, float) and 0 <= value <= MOST
 
 
 def _refuse(name: str) -> typing.NoReturn:
--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -14,8 +14,9 @@
 from rosemaryroad.dispatching._dispatcher import JobDispatcher
 from rosemaryroad.dispatching._drains import DrainBook
 from rosemaryroad.dispatching._drains import DrainChange
-from rosemaryroad.dispatching._ended import EndedJob
-from rosemaryroad.dispatching._ended import EndedJobs
+from rosemaryroad.dispatching._ended_jobs import EndedJob
+from rosemaryroad.dispatching._ended_jobs import EndedJobs
+from rosemaryroad.dispatching._ended_jobs import KEEP_ENDED_MS
 from rosemaryroad.dispatching._home_messages import take_message
 from rosemaryroad.dispatching._leadership import CLAIM_TIMEOUT_MS
 from rosemaryroad.dispatching._leadership import Leadership
@@ -56,6 +57,7 @@
     'EndedJobs',
     'FirstDivision',
     'JobDispatcher',
+    'KEEP_ENDED_MS',
     'KeyShare',
     'Leadership',
     'LeaseRow',
--- a/rosemaryroad/dispatching/_cells.py
+++ b/rosemaryroad/dispatching/_cells.py
@@ -25,7 +25,7 @@
 
 # A VM keeps an election for each cell. The largest deployment that is planned
 # for has 25.
-MOST_CELLS = 1_000
+_MOST_CELLS = 1_000
 
 # Shares are sums of floating-point parts.
 _SUM_TOLERANCE = 1e-6
@@ -49,7 +49,7 @@
 
     count: int = attrs.field(
         default=1,
-        validator=[attrs.validators.ge(1), attrs.validators.le(MOST_CELLS)],
+        validator=[attrs.validators.ge(1), attrs.validators.le(_MOST_CELLS)],
     )
     shares: tuple[float, ...] = attrs.field(
         default=(), metadata=structure.OMIT_DEFAULT
@@ -84,7 +84,7 @@
 def cells_for(workers: int) -> Cells:
     """Returns the division for a deployment with so many workers."""
     count = math.ceil(workers / _WORKERS_IN_A_CELL)
-    return Cells(min(max(1, count), MOST_CELLS))
+    return Cells(min(max(1, count), _MOST_CELLS))
 
 
 def share_by_room(
--- a/rosemaryroad/dispatching/_checks.py
+++ b/rosemaryroad/dispatching/_checks.py
@@ -2,7 +2,6 @@
 
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
-from rosemaryroad.dispatching import _foreign
 from rosemaryroad.dispatching import _holding
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
@@ -22,7 +21,6 @@
         cause = 'silent until the leases lapsed'
         context.drop_orders(worker, lapsed_orders, cause, now)
         return
-    _foreign.stop_unclaimed(context, worker, now)
     looked = False
     for order in list(worker.orders_by_key.values()):
         if (
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -8,7 +8,7 @@
 
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
-from rosemaryroad.dispatching import _ended
+from rosemaryroad.dispatching import _ended_jobs
 from rosemaryroad.dispatching import _forecast
 from rosemaryroad.dispatching import _paces
 from rosemaryroad.dispatching import _refusals
@@ -51,7 +51,7 @@
     lease_ms: float = 1_000.0
     remote_factor: float = 3.0
     scheduling: _scheduling.SchedulingPolicy = _scheduling.SchedulingPolicy()
-    keep_ended_ms: float = 120_000.0
+    keep_ended_ms: float = _ended_jobs.KEEP_ENDED_MS
 
     @property
     def order_validity_ms(self) -> float:
@@ -150,7 +150,7 @@
         self.jobs_by_id: dict[str, _state.JobState] = {}
         self.workers_by_id: dict[str, _state.WorkerState] = {}
         self.orders_by_task: dict[model.TaskId, dict[str, _state.Order]] = {}
-        self.ended = _ended.EndedJobs(limits.keep_ended_ms)
+        self.ended = _ended_jobs.EndedJobs(limits.keep_ended_ms)
         self.expecting: list[_state.JobState] = []
         self.pending_record_by_number: dict[int, _state.PendingRecord] = {}
         self.probe_by_number: dict[int, _state.Probe] = {}
@@ -352,7 +352,7 @@
             self._told.remove(state)
             state.news = None
         if end.is_final:
-            ended = _ended.EndedJob(state.job.queue, end, False, now)
+            ended = _ended_jobs.EndedJob(state.job.queue, end, False, now)
             self.ended.add(state.job.id, ended, now)
         self.forget_job(state, cause, now)
 
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -10,7 +10,6 @@
 from rosemaryroad.dispatching import _checks
 from rosemaryroad.dispatching import _context
 from rosemaryroad.dispatching import _draining
-from rosemaryroad.dispatching import _ending
 from rosemaryroad.dispatching import _foreign
 from rosemaryroad.dispatching import _handover
 from rosemaryroad.dispatching import _holding
@@ -19,6 +18,7 @@
 from rosemaryroad.dispatching import _preemption
 from rosemaryroad.dispatching import _queue
 from rosemaryroad.dispatching import _recording
+from rosemaryroad.dispatching import _repeats
 from rosemaryroad.dispatching import _reports
 from rosemaryroad.dispatching import _state
 from rosemaryroad.dispatching import _view
@@ -136,7 +136,7 @@
     ) -> _Actions:
         """Takes a job in, or one more home of a job that is here."""
         context = self._context
-        if _ending.answer_ended(context, home, message, now):
+        if _repeats.answer_ended(context, home, message, now):
             return context.take_actions()
         known = context.jobs_by_id.get(message.job.id)
         if known is not None:
@@ -189,13 +189,13 @@
         self, home: str, message: model.JobCancelled, now: float
     ) -> _Actions:
         """Ends a job for good, whichever its homes are."""
-        _ending.cancel(self._context, home, message, now)
+        _repeats.cancel(self._context, home, message, now)
         _queue.fill(self._context, now)
         return self._context.take_actions()
 
     def jobs_ended(self, message: model.JobsEnded, now: float) -> _Actions:
         """Takes in which jobs have ended before this dispatcher acted."""
-        _ending.take_ended(self._context, message, now)
+        _repeats.take_ended(self._context, message, now)
         _queue.fill(self._context, now)
         return self._context.take_actions()
 
@@ -379,6 +379,7 @@
         context = self._context
         for worker in list(context.workers_by_id.values()):
             _checks.check_worker(context, worker, now)
+        _foreign.stop_unclaimed(context, now)
         for state in context.expecting:
             _handover.stop_expecting(context, state, now)
         context.expecting = [
--- a/rosemaryroad/dispatching/_ended.py
+++ b/rosemaryroad/dispatching/_ended_jobs.py
@@ -12,7 +12,10 @@
 
 from rosemaryroad import model
 
-# An entry takes some 300 bytes.
+# For how long a client may ask for the state of its job.
+KEEP_ENDED_MS = 120_000.0
+
+# Bounds what a wave of cancels may take of the memory.
 _MOST_JOBS = 50_000
 
 
@@ -54,7 +57,7 @@
     def add(self, job_id: str, ended: EndedJob, now: float) -> None:
         """Takes in that a job has ended; the first word on it counts."""
         known = self.find(job_id, ended.queue, now)
-        if known is not None or now - ended.at >= self._keep_ms:
+        if known is not None or self._is_old(ended, now):
             return
         self._by_id.pop(job_id, None)
         self._by_id[job_id] = ended
@@ -63,31 +66,32 @@
     def find(self, job_id: str, queue: str, now: float) -> EndedJob | None:
         """Returns how a job has ended, if it has."""
         ended = self._by_id.get(job_id)
-        if ended is None or ended.queue != queue:
+        if ended is None or ended.queue != queue or self._is_old(ended, now):
             return None
-        return ended if now - ended.at < self._keep_ms else None
+        return ended
 
     def is_cancelled(self, job_id: str, now: float) -> bool:
         """Tells whether a job was cancelled, whatever its queue."""
         ended = self._by_id.get(job_id)
-        return (
-            ended is not None
-            and ended.is_cancelled
-            and now - ended.at < self._keep_ms
-        )
+        if ended is None or self._is_old(ended, now):
+            return False
+        return ended.is_cancelled
 
     def all(
         self, now: float
     ) -> collections.abc.Iterator[tuple[str, EndedJob]]:
         """Returns the jobs that are remembered, with their ids."""
         for job_id, ended in self._by_id.items():
-            if now - ended.at < self._keep_ms:
+            if not self._is_old(ended, now):
                 yield job_id, ended
 
+    def _is_old(self, ended: EndedJob, now: float) -> bool:
+        return now - ended.at >= self._keep_ms
+
     def _forget(self, now: float) -> None:
         while self._by_id:
             ended = next(iter(self._by_id.values()))
-            is_old = now - ended.at >= self._keep_ms
-            if not is_old and len(self._by_id) <= self._most:
+            has_room = len(self._by_id) <= self._most
+            if has_room and not self._is_old(ended, now):
                 return
             self._by_id.popitem(last=False)
--- a/rosemaryroad/dispatching/_foreign.py
+++ b/rosemaryroad/dispatching/_foreign.py
@@ -30,26 +30,38 @@
     """Takes in that clients may come to one more VM that isn't heard."""
     context.vm_lost_at = now
     if not context.is_outvoted:
-        for worker in context.workers_by_id.values():
-            _stop_older_than_lease(context, worker, now)
+        _stop_older_than_lease(context, _shared_workers(context), now)
 
 
-def stop_cancelled(context: _context.Context, job_id: str, now: float) -> None:
-    """Stops what runs of a cancelled job for another dispatcher."""
-    for worker in context.workers_by_id.values():
+def stop_cancelled(
+    context: _context.Context,
+    job_ids: collections.abc.Set[str],
+    now: float,
+) -> None:
+    """Stops what runs of cancelled jobs for another dispatcher."""
+    for worker in _shared_workers(context):
         for order in _running(worker):
-            if order.task.job == job_id:
+            if order.task.job in job_ids:
                 context.stop(worker, order, 'cancelled', now)
 
 
-def stop_unclaimed(
-    context: _context.Context, worker: _state.WorkerState, now: float
-) -> None:
+def stop_unclaimed(context: _context.Context, now: float) -> None:
     """Stops attempts that no home claims and that must not be prolonged."""
-    if context.is_outvoted or not worker.unclaimed_by_key:
+    if context.is_outvoted:
         return
-    _stop_found(context, worker, now)
-    _stop_older_than_lease(context, worker, now)
+    workers = _shared_workers(context)
+    for worker in workers:
+        _stop_found(context, worker, now)
+    _stop_older_than_lease(context, workers, now)
+
+
+def _shared_workers(context: _context.Context) -> list[_state.WorkerState]:
+    """Returns the workers that run what no home here waits for."""
+    return [
+        worker
+        for worker in context.workers_by_id.values()
+        if worker.unclaimed_by_key
+    ]
 
 
 def _stop_found(
@@ -67,33 +79,29 @@
 
 
 def _stop_older_than_lease(
-    context: _context.Context, worker: _state.WorkerState, now: float
+    context: _context.Context,
+    workers: list[_state.WorkerState],
+    now: float,
 ) -> None:
-    """Stops what another VM may start again, counting on its lease."""
-    for order in _running(worker):
-        if now - order.begun_after < context.limits.lease_ms:
-            continue
-        if _may_start_elsewhere(context, order):
-            context.stop(worker, order, 'may be started elsewhere', now)
-
+    """Stops what another VM may start again, counting on its lease.
 
-def _may_start_elsewhere(
-    context: _context.Context, order: _state.Order
-) -> bool:
-    """Tells whether a VM that isn't heard may start a task again."""
-    if order.was_found:
-        # A home may claim it yet; it isn't prolonged meanwhile.
-        return False
-    if order.begun_after <= context.vm_lost_at:
-        return True
-    return not _hears_all_domains(context)
+    What was found at take-up may be claimed yet; it isn't prolonged meanwhile.
+    """
+    if not workers:
+        return
+    begun_before = context.vm_lost_at
+    if not _hears_all_domains(context):
+        # The VMs of one that is cut off can't ask the workers elsewhere.
+        begun_before = now
+    begun_before = min(begun_before, now - context.limits.lease_ms)
+    for worker in workers:
+        for order in _running(worker):
+            if order.begun_after <= begun_before and not order.was_found:
+                context.stop(worker, order, 'may be started elsewhere', now)
 
 
 def _hears_all_domains(context: _context.Context) -> bool:
-    """Tells whether some worker of each failure domain is heard.
-
-    The VMs of one that is cut off can't ask the workers elsewhere.
-    """
+    """Tells whether some worker of each failure domain is heard."""
     domains = set()
     heard = set()
     for worker in context.workers_by_id.values():
--- a/rosemaryroad/dispatching/_ending.py
+++ b/rosemaryroad/dispatching/_repeats.py
@@ -3,7 +3,7 @@
 from rosemaryroad import model
 from rosemaryroad.dispatching import _actions
 from rosemaryroad.dispatching import _context
-from rosemaryroad.dispatching import _ended
+from rosemaryroad.dispatching import _ended_jobs
 from rosemaryroad.dispatching import _foreign
 
 
@@ -36,10 +36,13 @@
     """Ends a job at all its homes, and remembers that it is cancelled."""
     known = context.ended.find(message.job, message.queue, now)
     was_cancelled = known is not None and known.is_cancelled
-    is_known = _remember(context, _cancelled(message), now) or was_cancelled
+    was_at_work = _remember(context, _cancelled(message), now)
+    _foreign.stop_cancelled(context, {message.job}, now)
     if message.number:
         answer = model.CancelAnswered(
-            message.number, is_known, not context.is_outvoted
+            message.number,
+            was_at_work or was_cancelled,
+            not context.is_outvoted,
         )
         context.ask(_actions.TellHome(home, answer))
 
@@ -50,6 +53,8 @@
     """Takes in which jobs must not run again."""
     for item in message.jobs:
         _remember(context, item, now)
+    cancelled = {item.job for item in message.jobs if item.is_cancelled}
+    _foreign.stop_cancelled(context, cancelled, now)
 
 
 def _cancelled(message: model.JobCancelled) -> model.EndedJob:
@@ -62,12 +67,10 @@
     context: _context.Context, item: model.EndedJob, now: float
 ) -> bool:
     """Remembers a job and ends it; returns whether it was at work here."""
-    ended = _ended.EndedJob(
+    ended = _ended_jobs.EndedJob(
         item.queue, item.end, item.is_cancelled, now - item.age_ms
     )
     context.ended.add(item.job, ended, now)
-    if item.is_cancelled:
-        _foreign.stop_cancelled(context, item.job, now)
     state = context.jobs_by_id.get(item.job)
     if state is None or state.job.queue != item.queue:
         return False
--- a/rosemaryroad/jobserver/__init__.py
+++ b/rosemaryroad/jobserver/__init__.py
@@ -1,5 +1,6 @@
 """The daemon that serves jobs on a platform's workers."""
 
+from rosemaryroad.jobserver._dispatcher_messages import take_message
 from rosemaryroad.jobserver._front import JobFront
 from rosemaryroad.jobserver._home import JobHome
 from rosemaryroad.jobserver._node import JobNode
@@ -16,4 +17,5 @@
     'JobSettings',
     'QueueBook',
     'load',
+    'take_message',
 ]
--- a/rosemaryroad/jobserver/_ended.py
+++ b/rosemaryroad/jobserver/_answered_jobs.py
@@ -26,16 +26,17 @@
         """Returns how a job has ended, if it has."""
         return self._jobs.find(job_id, queue, self._clock.now())
 
-    def add(
-        self,
-        job_id: str,
-        queue: str,
-        end: model.JobEnd,
-        is_cancelled: bool = False,
-    ) -> None:
+    def add(self, job: model.Job, end: model.JobEnd) -> None:
         """Remembers a job that has ended just now."""
         now = self._clock.now()
-        ended = dispatching.EndedJob(queue, end, is_cancelled, now)
+        ended = dispatching.EndedJob(job.queue, end, False, now)
+        self._jobs.add(job.id, ended, now)
+
+    def add_cancelled(self, job_id: str, queue: str) -> None:
+        """Remembers a job that was cancelled just now."""
+        now = self._clock.now()
+        failed = model.JobEnd.FAILED
+        ended = dispatching.EndedJob(queue, failed, True, now)
         self._jobs.add(job_id, ended, now)
 
     def messages(
--- a/rosemaryroad/jobserver/_home.py
+++ b/rosemaryroad/jobserver/_home.py
@@ -11,8 +11,8 @@
 from rosemaryroad import jobservice
 from rosemaryroad import logs
 from rosemaryroad import model
+from rosemaryroad.jobserver import _answered_jobs
 from rosemaryroad.jobserver import _cancels
-from rosemaryroad.jobserver import _ended
 
 _LOG = logging.getLogger(__name__)
 _MS_PER_SECOND = 1000.0
@@ -65,7 +65,7 @@
         clock: clock_module.Clock,
         send: _Send,
         failure_domain: str = '',
-        keep_ended_ms: float = 120_000.0,
+        keep_ended_ms: float = dispatching.KEEP_ENDED_MS,
     ) -> None:
         self._vm = vm
         self._failure_domain = failure_domain
@@ -75,7 +75,7 @@
         self._dispatcher_by_cell: dict[int, str] = {}
         self._alone_since_by_cell: dict[int, float] = {}
         self._held_by_id: dict[str, _Held] = {}
-        self._answered = _ended.AnsweredJobs(clock, keep_ended_ms)
+        self._answered = _answered_jobs.AnsweredJobs(clock, keep_ended_ms)
         self._cancels = _cancels.RemoteCancels(send)
 
     @property
@@ -151,8 +151,7 @@
         dispatcher = self._dispatcher_of(job_id)
         end = await self._cancels.pass_on(job_id, queue, dispatcher)
         if end is jobservice.CancelEnd.DONE:
-            failed = model.JobEnd.FAILED
-            self._answered.add(job_id, queue, failed, is_cancelled=True)
+            self._answered.add_cancelled(job_id, queue)
         return end
 
     def cancel_answered(self, message: model.CancelAnswered) -> None:
@@ -277,15 +276,16 @@
 
     def _cancel_held(self, held: _Held) -> None:
         job = held.job
-        failed = model.JobEnd.FAILED
-        self._answered.add(job.id, job.queue, failed, is_cancelled=True)
+        self._answered.add_cancelled(job.id, job.queue)
         dispatchers = {held.handed_to, self._dispatcher_of(job.id)} - {''}
         # Versions that don't know cancels have this message.
         self._withdraw(held, 'cancelled')
         for dispatcher in sorted(dispatchers):
             cancelled = model.JobCancelled(job.id, job.queue)
             self._send(dispatcher, cancelled)
-        held.answer.set_result(jobservice.JobAnswer(failed, 'cancelled'))
+        held.answer.set_result(
+            jobservice.JobAnswer(model.JobEnd.FAILED, 'cancelled')
+        )
 
     def _alone_since(self, held: _Held) -> float:
         since = self._alone_since_by_cell.get(self._cell_of(held.job.id), 0.0)
@@ -375,7 +375,7 @@
     def _end(self, held: _Held, answer: jobservice.JobAnswer) -> None:
         self._held_by_id.pop(held.job.id, None)
         if answer.end.is_final:
-            self._answered.add(held.job.id, held.job.queue, answer.end)
+            self._answered.add(held.job, answer.end)
         if not held.answer.done():
             held.answer.set_result(answer)
 
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -16,6 +16,7 @@
 from rosemaryroad import peers
 from rosemaryroad import platform
 from rosemaryroad.jobserver import _cell_dispatching
+from rosemaryroad.jobserver import _dispatcher_messages
 from rosemaryroad.jobserver import _dispatching
 from rosemaryroad.jobserver import _following
 from rosemaryroad.jobserver import _front
@@ -275,15 +276,7 @@
 
     def job_message(self, vm: str, message: model.JobMessage) -> None:
         """Takes in what a VM tells about a job."""
-        if isinstance(message, model.JobProgress):
-            self._home.progressed(vm, message)
-        elif isinstance(message, model.JobSettled):
-            self._home.settled(vm, message)
-        elif isinstance(message, model.JobReleased):
-            self._home.released(vm, message)
-        elif isinstance(message, model.CancelAnswered):
-            self._home.cancel_answered(message)
-        else:
+        if not _dispatcher_messages.take_message(message, self._home, vm):
             self._dispatching.message(vm, message)
 
     def peer_lost(self, vm: str) -> None:
--- a/rosemaryroad/jobserver/_settings.py
+++ b/rosemaryroad/jobserver/_settings.py
@@ -75,7 +75,7 @@
         default=3.0, validator=_settings_parts.between(1.0, 1_000.0)
     )
     keep_ended_ms: float = attrs.field(
-        default=120_000.0,
+        default=dispatching.KEEP_ENDED_MS,
         validator=_settings_parts.between(0.0, 10 * _MS_PER_MINUTE),
     )
 
--- a/rosemaryroad/platform/_report_bodies.py
+++ b/rosemaryroad/platform/_report_bodies.py
@@ -18,8 +18,11 @@
     'lapsed': model.TaskEnd.LAPSED,
 }
 
-# "task" is the job's id and three numbers.
-_NAME_PARTS = 4
+# "task" is the job's id and so many numbers.
+_NAME_NUMBERS = 3
+
+# A row has at least so many fields.
+_ROW_FIELDS = 4
 
 _Body = dict[str, typing.Any]
 
@@ -58,8 +61,8 @@
     worker_clock = read_clock(body)
     if worker_clock is None:
         raise ValueError('clock_ms')
-    running = [_read_running(row) for row in _rows(body, 'running', 4)]
-    ended = [_read_ended(row) for row in _rows(body, 'finished', 4)]
+    running = [_read_running(row) for row in _rows(body, 'running')]
+    ended = [_read_ended(row) for row in _rows(body, 'finished')]
     return model.WorkerReport(
         worker_clock,
         asked_at,
@@ -74,12 +77,12 @@
     return f'{task.job}.{task.occurrence}.{task.step}.{task.index}'
 
 
-def _rows(body: _Body, name: str, least: int) -> list[list[typing.Any]]:
+def _rows(body: _Body, name: str) -> list[list[typing.Any]]:
     rows = body.get(name)
     if not isinstance(rows, list):
         raise ValueError(name)
     for row in rows:
-        if not isinstance(row, list) or len(row) < least:
+        if not isinstance(row, list) or len(row) < _ROW_FIELDS:
             raise ValueError(f'a row of {name}')
     return rows
 
@@ -87,9 +90,7 @@
 def _read_running(row: list[typing.Any]) -> model.RunningTask | None:
     # Task, attempt, checkpoint, percent and, at times, a load.
     task = _read_task(row[0])
-    attempt, percent = row[1], row[3]
-    if not _json_values.is_whole(attempt):
-        raise ValueError('attempt')
+    attempt, percent = _whole(row[1], 'attempt'), row[3]
     if not _json_values.is_number(percent):
         raise ValueError('percent')
     if task is None:
@@ -99,12 +100,8 @@
 
 def _read_ended(row: list[typing.Any]) -> model.EndedTask | None:
     # Number, task, attempt, how it ended, checkpoint.
-    number, attempt, how = row[0], row[2], row[3]
-    task = _read_task(row[1])
-    if not _json_values.is_whole(number):
-        raise ValueError('number')
-    if not _json_values.is_whole(attempt):
-        raise ValueError('attempt')
+    number, attempt = _whole(row[0], 'number'), _whole(row[2], 'attempt')
+    task, how = _read_task(row[1]), row[3]
     if not isinstance(how, str):
         raise ValueError('how')
     if task is None:
@@ -113,12 +110,18 @@
     return model.EndedTask(number, task, attempt, end)
 
 
+def _whole(value: object, name: str) -> int:
+    if not _json_values.is_whole(value):
+        raise ValueError(name)
+    return value
+
+
 def _read_task(name: object) -> model.TaskId | None:
     """Returns the task that a row names, or None for a name not of ours."""
     if not _json_values.is_text(name):
         raise ValueError('task')
     job, *numbers = name.split('.')
-    if len(numbers) != _NAME_PARTS - 1:
+    if len(numbers) != _NAME_NUMBERS:
         return None
     if not all(part.isdecimal() and part.isascii() for part in numbers):
         return None
--- a/tests/dispatching/drawn_drains.py
+++ b/tests/dispatching/drawn_drains.py
@@ -23,7 +23,7 @@
     async def play(self) -> None:
         """Plays four to seven drains and faults, and heals them."""
         draw, service = self._draw, self.service
-        await service.run(4_000 + draw.randrange(12) * 10)
+        await self._begin()
         for _ in range(draw.randint(2, 3)):
             draw.choice(_DRAINS)(self, self._draw_vm())
             await self._submit_for(draw.choice(_SHORT_PAUSES_MS))
@@ -32,9 +32,7 @@
         if draw.random() < 0.5:
             service.heal()
             await self._submit_for(draw.choice(_LONG_PAUSES_MS))
-        await service.run(draw.choice((500, 1_500, 3_000)))
-        service.heal()
-        await service.run(3_000)
+        await self._finish()
 
     # Drains and faults, each at a VM.
 
--- a/tests/dispatching/drawn_faults.py
+++ b/tests/dispatching/drawn_faults.py
@@ -13,6 +13,7 @@
 _FREEZES_MS = (100, 200, 350, 700, 2_000)
 _DELAYS_MS = (60, 200, 500, 900)
 _PAUSES_MS = (30, 60, 100, 200, 300, 500, 800, 1_200, 1_800)
+_LAST_PAUSES_MS = (500, 1_500, 3_000)
 _MOST_KILLS = 2
 _LEAST_VMS = 5
 
@@ -40,15 +41,34 @@
 
     async def play(self) -> None:
         """Plays two to five faults, and heals them."""
-        draw, service = self._draw, self.service
-        await service.run(4_000 + draw.randrange(12) * 10)
-        for _ in range(draw.randint(2, 5)):
-            fault = draw.choice(_FAULTS)
+        await self._begin()
+        await self._play_faults(self._draw.randint(2, 5), _FAULTS, _PAUSES_MS)
+        await self._finish()
+
+    async def _begin(self) -> None:
+        """Lets a dispatcher be chosen."""
+        await self.service.run(4_000 + self._draw.randrange(12) * 10)
+
+    async def _play_faults(
+        self,
+        count: int,
+        faults: collections.abc.Sequence[collections.abc.Callable],
+        pauses_ms: collections.abc.Sequence[int],
+    ) -> None:
+        """Plays some faults, with jobs that come after each."""
+        for _ in range(count):
+            fault = self._draw.choice(faults)
             fault(self, self._draw_vm())
-            await self._submit_for(draw.choice(_PAUSES_MS))
-        await service.run(draw.choice((500, 1_500, 3_000)))
-        service.heal()
-        await service.run(3_000)
+            await self._submit_for(self._draw.choice(pauses_ms))
+
+    async def _finish(
+        self,
+        pauses_ms: collections.abc.Sequence[int] = _LAST_PAUSES_MS,
+    ) -> None:
+        """Heals all faults after a pause, and lets what runs end."""
+        await self.service.run(self._draw.choice(pauses_ms))
+        self.service.heal()
+        await self.service.run(3_000)
 
     def _make_service(
         self, run_ms: float, vms: int
--- a/tests/dispatching/drawn_one_way.py
+++ b/tests/dispatching/drawn_one_way.py
@@ -18,8 +18,8 @@
 
     async def play(self) -> None:
         """Plays three to five faults, and heals them."""
-        draw, service = self._draw, self.service
-        await service.run(4_000 + draw.randrange(12) * 10)
+        draw = self._draw
+        await self._begin()
         await self._submit_for(draw.choice(_LATER_PAUSES_MS))
         draw.choice(_CUTS)(self, self._draw_vm())
         for _ in range(2):
@@ -31,9 +31,7 @@
             await self._submit_for(draw.choice(_LATER_PAUSES_MS))
             draw.choice(_CUTS)(self, self._draw_vm())
         await self._submit_for(draw.choice(_LATER_PAUSES_MS))
-        await service.run(draw.choice((500, 1_500, 3_000)))
-        service.heal()
-        await service.run(3_000)
+        await self._finish()
 
     def _draw_vm(self) -> str:
         """Draws the main dispatcher, another acting one, or another VM."""
--- a/tests/dispatching/drawn_preemptions.py
+++ b/tests/dispatching/drawn_preemptions.py
@@ -36,7 +36,7 @@
     async def play(self) -> None:
         """Plays two to five bursts with a fault before each."""
         draw, service = self._draw, self.service
-        await service.run(4_000 + draw.randrange(12) * 10)
+        await self._begin()
         await self._submit_for(self._run_ms)
         for _ in range(draw.randint(2, 5)):
             if draw.random() < 0.5:
@@ -47,9 +47,7 @@
         if draw.random() < 0.5:
             service.heal()
             await self._burst()
-        await service.run(draw.choice((500, 1_500, 3_000)))
-        service.heal()
-        await service.run(3_000)
+        await self._finish()
 
     def _make_service(
         self, run_ms: float, vms: int
--- a/tests/dispatching/drawn_returns.py
+++ b/tests/dispatching/drawn_returns.py
@@ -19,6 +19,7 @@
 _STOPS_MS = (0.0, 50.0)
 _FIRST_PAUSES_MS = (800, 1_200, 2_000)
 _PAUSES_MS = (30, 120, 250, 500, 900, 1_400)
+_LAST_PAUSES_MS = (1_500, 3_000, 4_500)
 _MOST_RETURNS = 2
 
 # How long a zone or a VM is back between two cuts.
@@ -52,17 +53,12 @@
 
     async def play(self) -> None:
         """Plays a VM that is cut off and one to four faults, and heals."""
-        draw, service = self._draw, self.service
-        await service.run(4_000 + draw.randrange(12) * 10)
+        draw = self._draw
+        await self._begin()
         self._part_alone(draw.choice(self._names()))
         await self._submit_for(draw.choice(_FIRST_PAUSES_MS))
-        for _ in range(draw.randint(1, 4)):
-            fault = draw.choice(_FAULTS)
-            fault(self, self._draw_vm())
-            await self._submit_for(draw.choice(_PAUSES_MS))
-        await service.run(draw.choice((1_500, 3_000, 4_500)))
-        service.heal()
-        await service.run(3_000)
+        await self._play_faults(draw.randint(1, 4), _FAULTS, _PAUSES_MS)
+        await self._finish(_LAST_PAUSES_MS)
 
     def _make_service(
         self, run_ms: float, vms: int
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -759,15 +759,7 @@
             self._check_role(vm)
             return
         vm.leadership.heard_from(sender, self.now)
-        if isinstance(message, model.JobProgress):
-            vm.home.progressed(sender, message)
-        elif isinstance(message, model.JobSettled):
-            vm.home.settled(sender, message)
-        elif isinstance(message, model.JobReleased):
-            vm.home.released(sender, message)
-        elif isinstance(message, model.CancelAnswered):
-            vm.home.cancel_answered(message)
-        else:
+        if not jobserver.take_message(message, vm.home, sender):
             self._take_as_dispatcher(vm, sender, message)
 
     def _take_as_dispatcher(
--- a/tests/jobserver/test_following.py
+++ b/tests/jobserver/test_following.py
@@ -1,6 +1,7 @@
 """Tests of how a table of the store is followed."""
 
 import asyncio
+import collections.abc
 import random
 import unittest
 
@@ -98,6 +99,24 @@
         return platform.Changes((row,), (), version)
 
 
+def _follow_workers(
+    tables: platform.WatchedTables,
+    on_rows: collections.abc.Callable,
+    time: clock.Clock,
+    *rests: collections.abc.Callable,
+) -> _following.TableFollower:
+    return _following.TableFollower(
+        tables,
+        'workers',
+        on_rows,
+        time,
+        random.Random(1),
+        _metrics.JobMetrics('entry-1'),
+        _node._WORKERS_WAIT_MS,
+        *rests,
+    )
+
+
 class SuccessionTest(unittest.IsolatedAsyncioTestCase):
     """Operators write the configuration again and again."""
 
@@ -166,14 +185,10 @@
             for key in rows:
                 known_at.setdefault(key, time.now())
 
-        follower = _following.TableFollower(
+        follower = _follow_workers(
             tables,
-            'workers',
             on_rows,
             time,
-            random.Random(1),
-            _metrics.JobMetrics('entry-1'),
-            _node._WORKERS_WAIT_MS,
         )
         task = asyncio.create_task(follower.run())
         self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
@@ -196,14 +211,10 @@
             told.append(len(rows))
             raise OverflowError('a row of another writer')
 
-        follower = _following.TableFollower(
+        follower = _follow_workers(
             tables,
-            'workers',
             on_rows,
             time,
-            random.Random(1),
-            _metrics.JobMetrics('entry-1'),
-            _node._WORKERS_WAIT_MS,
         )
         with self.assertLogs('rosemaryroad', 'ERROR'):
             task = asyncio.create_task(follower.run())
@@ -223,14 +234,10 @@
         time = clock.ManualClock()
         tables = _InOrder(time)
         known: set[str] = set()
-        follower = _following.TableFollower(
+        follower = _follow_workers(
             tables,
-            'workers',
             known.update,
             time,
-            random.Random(1),
-            _metrics.JobMetrics('entry-1'),
-            _node._WORKERS_WAIT_MS,
             lambda: 60_000.0,
         )
         task = asyncio.create_task(follower.run())
--- a/tests/platform_adapter/test_bounds.py
+++ b/tests/platform_adapter/test_bounds.py
@@ -17,30 +17,11 @@
 from rosemaryroad.platform import _report_bodies
 from rosemaryroad.platform import _row_reader
 from rosemaryroad.platform import _store
+from tests.platform_adapter import entries
 
 # JSON allows it, and no float holds it.
 _HUGE = 10**400
 _HALF_PAIR = '\ud800'
-_ROUTE = {
-    'name': 'r1',
-    'host': 'h.example',
-    'prefix': '/p/',
-    'service': 'archive',
-    'priority': 2,
-    'target_latency_ms': 60,
-    'max_attempts': 4,
-    'slack_factor': 1.6,
-}
-_WORKER = {
-    'service': 'archive',
-    'address': '10.0.0.9:8080',
-    'zone': 'szeged',
-    'state': 'ready',
-    'warmup_left_ms': 0,
-    'capacity': {'cpu': 16500, 'mem_mb': 32768, 'gpu': 1},
-    'labels': ['a', 'r1-3'],
-    'born': 1_700_000_000_123,
-}
 _REPORT = {
     'clock_ms': 482_113,
     'running': [['0123456789abcdef.0.0.3', 2, '', 41]],
@@ -61,13 +42,13 @@
         self.addAsyncCleanup(self.adapter.close)
 
     def _names(self, entry: object) -> list[str]:
-        texts = {'bad': json.dumps(entry), 'good': json.dumps(_WORKER)}
+        texts = {'bad': json.dumps(entry), 'good': json.dumps(entries.WORKER)}
         rows = {key: platform.Row(key, text, 1) for key, text in texts.items()}
         return [worker.id for worker in self.adapter.read_workers(rows)]
 
     def test_an_entry_out_of_bounds_hides_no_other(self) -> None:
         """After a loss of all VMs, none knew any worker, nor served."""
-        capacity = _WORKER['capacity']
+        capacity = entries.WORKER['capacity']
         for change in (
             {'warmup_left_ms': _HUGE},
             {'warmup_left_ms': 1e300},
@@ -83,7 +64,9 @@
             {'address': f'{_HALF_PAIR}:80'},
         ):
             with self.subTest(repr(change)[:60]):
-                self.assertEqual(['good'], self._names(_WORKER | change))
+                self.assertEqual(
+                    ['good'], self._names(entries.WORKER | change)
+                )
 
     def test_a_fault_of_the_decoder_hides_no_other(self) -> None:
         """A kind of damage that nobody thought of comes in."""
@@ -108,7 +91,7 @@
             {'target_latency_ms': _HUGE},
             {'host': _HALF_PAIR},
         ):
-            routes = [_ROUTE | change, _ROUTE | {'name': 'r2'}]
+            routes = [entries.ROUTE | change, entries.ROUTE | {'name': 'r2'}]
             text = json.dumps({'version': 7, 'routes': routes})
             rows = {'config': platform.Row('config', text, 1)}
             with self.subTest(repr(change)[:60]):
@@ -117,7 +100,7 @@
 
     def test_a_version_out_of_bounds_is_no_configuration(self) -> None:
         """No later one would come into force."""
-        text = json.dumps({'version': _HUGE, 'routes': [_ROUTE]})
+        text = json.dumps({'version': _HUGE, 'routes': [entries.ROUTE]})
         rows = {'config': platform.Row('config', text, 1)}
         self.assertIsNone(self.adapter.read_queues(rows))
 
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -6,32 +6,7 @@
 from rosemaryroad import clock
 from rosemaryroad import model
 from rosemaryroad import platform
-
-_ROUTE = {
-    'name': 'r1',
-    'host': 'h.example',
-    'prefix': '/p/',
-    'kind': 'non_idempotent',
-    'timeout_ms': 1500,
-    'target_latency_ms': 60,
-    'priority': 2,
-    'service': 'archive',
-    'max_attempts': 4,
-    'slack_factor': 1.6,
-}
-_WORKER = {
-    'service': 'archive',
-    'address': '10.0.0.9:8080',
-    'zone': 'szeged',
-    'version': 'v1',
-    'slots': 8,
-    'state': 'ready',
-    'warmup_left_ms': 0,
-    'capacity': {'cpu': 16500, 'mem_mb': 32768, 'gpu': 1},
-    'labels': ['a', 'r1-3'],
-    'clock_ms': 482113,
-    'sequence': 4,
-}
+from tests.platform_adapter import entries
 
 
 def _rows(**texts: str) -> dict[str, platform.Row]:
@@ -55,18 +30,20 @@
         return self.adapter.read_workers(_rows(i1=text))
 
     def test_a_queue_with_its_terms(self) -> None:
-        table = self._queues(json.dumps({'version': 7, 'routes': [_ROUTE]}))
+        table = self._queues(
+            json.dumps({'version': 7, 'routes': [entries.ROUTE]})
+        )
         terms = model.JobTerms(2, 1.6, 60.0, 4)
         route = model.QueueRoute('r1', 'h.example', '/p/', 'archive', terms)
         self.assertEqual(model.QueueTable(7, (route,)), table)
 
     def test_a_worker_with_its_room(self) -> None:
-        [worker] = self._workers(_WORKER)
+        [worker] = self._workers(entries.WORKER)
         self.assertEqual('i1', worker.id)
         self.assertEqual(model.Needs(16.5, 32768, 1), worker.capacity)
         self.assertEqual(('a', 'r1-3'), worker.labels)
         self.assertFalse(worker.leaving)
-        [leaving] = self._workers(_WORKER | {'state': 'draining'})
+        [leaving] = self._workers(entries.WORKER | {'state': 'draining'})
         self.assertTrue(leaving.leaving)
 
     def test_configurations_that_can_not_be_read(self) -> None:
@@ -95,7 +72,11 @@
             {'priority': 'high'},
             {'slack_factor': -1},
         ):
-            routes = [_ROUTE | change, _ROUTE | {'name': 'r2'}, 'x']
+            routes = [
+                entries.ROUTE | change,
+                entries.ROUTE | {'name': 'r2'},
+                'x',
+            ]
             text = json.dumps({'version': 7, 'routes': routes})
             with self.subTest(change):
                 names = [route.name for route in self._queues(text).routes]
@@ -103,13 +84,13 @@
 
     def test_the_start_of_a_life(self) -> None:
         """Older minions don't tell when they started."""
-        [worker] = self._workers(_WORKER)
+        [worker] = self._workers(entries.WORKER)
         self.assertIsNone(worker.born)
-        [worker] = self._workers(_WORKER | {'born': 1_700_000_000_123})
+        [worker] = self._workers(entries.WORKER | {'born': 1_700_000_000_123})
         self.assertEqual(1_700_000_000_123, worker.born)
 
     def test_how_long_a_worker_still_warms_up(self) -> None:
-        [worker] = self._workers(_WORKER | {'warmup_left_ms': 1200})
+        [worker] = self._workers(entries.WORKER | {'warmup_left_ms': 1200})
         self.assertEqual(1_200.0, worker.warm_up_left_ms)
 
     def _drains(self, **texts: str) -> tuple[str, ...]:
@@ -166,12 +147,12 @@
             {'warmup_left_ms': -1},
         ):
             with self.subTest(change):
-                self.assertEqual((), self._workers(_WORKER | change))
+                self.assertEqual((), self._workers(entries.WORKER | change))
         for text in ('', 'nonsense', '[]', 'null', '[' * 100_000):
             with self.subTest(text[:20]):
                 self.assertEqual((), self._workers(text))
 
     def test_a_bad_entry_hides_no_other(self) -> None:
-        rows = _rows(i1='{', i2=json.dumps(_WORKER))
+        rows = _rows(i1='{', i2=json.dumps(entries.WORKER))
         found = self.adapter.read_workers(rows)
         self.assertEqual(['i2'], [worker.id for worker in found])
