--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -41,18 +42,24 @@
     return time.monotonic()
 
 
+# Below the ports that the system gives to outgoing connections.
+_PORTS = range(15_000, 32_000)
 _given = set()
 
 
 def free_port():
     """Returns a free loopback port that was not returned before."""
     while True:
+        port = random.choice(_PORTS)
+        if port in _given:
+            continue
         with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            port = probe.getsockname()[1]
-        if port not in _given:
-            _given.add(port)
-            return port
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        _given.add(port)
+        return port
 
 
 class Record:
@@ -220,6 +227,7 @@
         self.born = 0
         self._runner = None
         self._beats = None
+        self._expiry = None
         self._beat_at = now()
 
     @property
@@ -287,7 +295,8 @@
     async def close(self):
         if self.up:
             await self.crash()
-        self._expiry.cancel()
+        if self._expiry is not None:
+            self._expiry.cancel()
 
     def clock_ms(self):
         return int((now() - self._clock_from) * 1000) + 1
@@ -615,6 +624,15 @@
         )
 
     async def __aenter__(self):
+        try:
+            await self._begin()
+        except BaseException:
+            # Nothing that was started may stay behind.
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _begin(self):
         self.http = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True)
         )
@@ -644,7 +662,6 @@
                 raise RuntimeError('the entry VMs did not become ready')
             await asyncio.sleep(0.1)
         self.record.note('all_ready')
-        return self
 
     async def __aexit__(self, *_):
         self.closing = True
@@ -652,6 +669,8 @@
             task.cancel()
         await asyncio.gather(*self._requests, return_exceptions=True)
         for vm in self.vms:
+            if vm.child is None:
+                continue
             if vm.child.poll() is None:
                 os.kill(vm.child.pid, signal.SIGCONT)
                 os.kill(vm.child.pid, signal.SIGKILL)
