--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -474,6 +474,8 @@
         self.child = None
         self._keeper = None
         self.restart_after = RESTART_S
+        # Whether it is removed for good once it ends.
+        self.stays_away = False
         self.log = None
 
     def settings(self):
@@ -531,7 +533,7 @@
             await asyncio.sleep(0.02)
         self._world.record.note('vm_ended', vm=self.name, code=child.poll())
         self.log.close()
-        if self._world.closing:
+        if self._world.closing or self.stays_away:
             return
         await asyncio.sleep(self.restart_after)
         if not self._world.closing:
