--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -3,6 +3,7 @@
 from rosemaryroad.dispatching._actions import Action
 from rosemaryroad.dispatching._actions import LookAt
 from rosemaryroad.dispatching._actions import Noted
+from rosemaryroad.dispatching._actions import RaiseFence
 from rosemaryroad.dispatching._actions import StartTask
 from rosemaryroad.dispatching._actions import StopTask
 from rosemaryroad.dispatching._actions import TellHome
@@ -69,6 +70,7 @@
     'PriorityOrder',
     'PriorityPolicy',
     'QueueView',
+    'RaiseFence',
     'RefusalCause',
     'Role',
     'SchedulingPolicy',
--- a/rosemaryroad/dispatching/_actions.py
+++ b/rosemaryroad/dispatching/_actions.py
@@ -60,6 +60,17 @@
     worker: str
 
 
+@attrs.frozen
+class RaiseFence:
+    """Have workers refuse the orders that were given so far.
+
+    Attributes:
+        cause: Why, for the log.
+    """
+
+    cause: str
+
+
 @attrs.frozen
 class TellHome:
     """Tell an entry VM about a job of its clients.
@@ -90,4 +101,6 @@
     detail: str
 
 
-Action: typing.TypeAlias = StartTask | StopTask | LookAt | TellHome | Noted
+Action: typing.TypeAlias = (
+    StartTask | StopTask | LookAt | RaiseFence | TellHome | Noted
+)
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -165,6 +165,7 @@
         self.suspicion_by_key: dict[
             tuple[model.TaskId, int], _state.Suspicion
         ] = {}
+        self._fence_cause = ''
         self._numbers = itertools.count(1)
         self._changes = Changes()
         self._actions: list[_actions.Action] = []
@@ -179,8 +180,11 @@
         taken = [
             action for state in self._told for action in self._tell(state)
         ]
+        if self._fence_cause:
+            taken.append(_actions.RaiseFence(self._fence_cause))
         taken += self._actions
         self._told = []
+        self._fence_cause = ''
         self._actions = []
         return taken
 
@@ -199,6 +203,14 @@
         """Asks for an action."""
         self._actions.append(action)
 
+    def raise_fence(self, cause: str) -> None:
+        """Has all orders given so far refused, before any other action.
+
+        Whatever has called for it since the last actions were taken, the
+        fence is raised once.
+        """
+        self._fence_cause = self._fence_cause or cause
+
     def note(self, event: str, subject: str, detail: str) -> None:
         """Asks for a log line about a change of belief."""
         self.ask(_actions.Noted(event, subject, detail))
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -287,7 +287,9 @@
 
     def start_sent(self, worker_id: str, now: float) -> None:
         """Notes that an order to start is sent now."""
-        self._context.workers_by_id[worker_id].held_at = now
+        worker = self._context.workers_by_id[worker_id]
+        worker.held_at = now
+        worker.was_ordered = True
 
     def held(self, worker_id: str, now: float) -> None:
         """Notes that a call which prolongs leases goes out now."""
@@ -363,9 +365,11 @@
             # been waited for already. Where the next is lost as well, this
             # VM may itself be too slow to read them, and more would only
             # add to that.
-            stopping = order.phase is _state.OrderPhase.STOPPING
-            if stopping and order.stops == 1:
-                self._context.stop(worker, order, 'stop unanswered', now)
+            self._stop_once_more(worker, order, 'stop unanswered', now)
+            return self._context.take_actions()
+        if reply.result is model.OrderResult.FENCED:
+            # The fence is higher now.
+            self._stop_once_more(worker, order, 'stop fenced', now)
             return self._context.take_actions()
         if reply.result is not model.OrderResult.DONE:
             return []
@@ -412,12 +416,25 @@
             return
         _recording.home_left(self._context, home, state, now)
 
+    def _stop_once_more(
+        self,
+        worker: _state.WorkerState,
+        order: _state.Order,
+        cause: str,
+        now: float,
+    ) -> None:
+        if order.phase is _state.OrderPhase.STOPPING and order.stops == 1:
+            self._context.stop(worker, order, cause, now)
+
     def _drop_unlisted(self) -> None:
         workers = self._context.workers_by_id
         for key, worker in list(workers.items()):
             if not worker.listed and not worker.orders_by_key:
                 del workers[key]
                 self._context.run_times.forget(key)
+                # It may return under its id, as a worker that is new here.
+                cause = 'a worker is gone'
+                _lives.bar_earlier_orders(self._context, worker, cause)
 
 
 def _tell_all(context: _context.Context, state: _state.JobState) -> None:
--- a/rosemaryroad/dispatching/_leadership.py
+++ b/rosemaryroad/dispatching/_leadership.py
@@ -53,6 +53,10 @@
 # A dispatcher that went ahead without the table writes its row later.
 _MEND_AGAIN_MS = 1_000.0
 
+# How far the fence runs ahead of the row before that is written again. After
+# a loss of all VMs the row alone is known; workers refuse each lower fence.
+_MOST_FENCE_LEAD = 8
+
 # How long after a lost claim the winner has to be heard.
 _LOST_CLAIM_MS = 300.0
 
@@ -257,6 +261,13 @@
         """
         self._fence = max(self._fence, fence + 1)
 
+    def raise_fence(self) -> None:
+        """Has workers refuse all orders that were given so far.
+
+        A worker does so once a call with the higher fence has reached it.
+        """
+        self._fence = self.fence + 1
+
     def leave(self, now: float) -> None:
         """Lets another VM take over; this one is shutting down."""
         self._leaving = True
@@ -326,6 +337,9 @@
         self._mend_at = now + _MEND_AGAIN_MS
         if self._is_out(now) or row.term <= self._term:
             return
+        if self._claim is model.Claim.DISPATCHER:
+            # The row has been mended; its term is the fence's.
+            return
         if self._best_other(now) is not None:
             # Another one was heard meanwhile; it goes on, and mends the
             # row where its term is the lower one.
@@ -395,9 +409,12 @@
         """Returns the row as it should be, where it lags behind this VM."""
         if self._claim is not model.Claim.DISPATCHER or now < self._mend_at:
             return None
-        if self._row.term >= self._term:
+        if self._row.term < self._term:
+            return _roles.LeaseRow(self._term, self._vm)
+        lead = self.fence - self._row.term
+        if self._row.vm != self._vm or lead < _MOST_FENCE_LEAD:
             return None
-        return _roles.LeaseRow(self._term, self._vm)
+        return _roles.LeaseRow(self.fence, self._vm)
 
     def _silence_ms(self, vm: str) -> float:
         # A home that has lost its dispatcher hands its jobs to another one.
--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -163,6 +163,7 @@
         f'born {entry.born}, before {worker.worker.born}; '
         f'{len(gone)} attempts gone, {len(orders) - len(gone)} in doubt',
     )
+    bar_earlier_orders(context, worker, 'a worker has started again')
     for order in gone:
         context.remove_order(worker, order)
     late = worker.late_orders
@@ -180,6 +181,19 @@
     context.ask(_actions.LookAt(entry.id))
 
 
+def bar_earlier_orders(
+    context: _context.Context, worker: _state.WorkerState, cause: str
+) -> None:
+    """Has a worker's later lives refuse the orders that it was given.
+
+    A start without an answer may be carried out seconds later, in whichever
+    life comes then; only the fence tells that it was meant for another one.
+    Where most VMs don't follow this one, others may have ordered as well.
+    """
+    if worker.was_ordered or context.is_outvoted:
+        context.raise_fence(cause)
+
+
 def _began_before(worker: _state.WorkerState, order: _state.Order) -> bool:
     if order.was_named:
         return True
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -319,6 +319,8 @@
             a cut would swallow them all.
         full: Whether it refused for room since it last reported.
         told_asked_at: When it was asked for the last report of this life.
+        was_ordered: Whether this dispatcher has sent it an order to start, in
+            any of its lives.
         dropped_born: The earlier life whose entry was dropped last.
         late_orders: Attempts given up here that may yet begin in a next
             life, where nothing refuses them.
@@ -353,6 +355,7 @@
     unanswered_at: float | None = None
     full: bool = False
     told_asked_at: float = -math.inf
+    was_ordered: bool = False
     dropped_born: int | None = None
     late_orders: collections.deque[Order] = attrs.field(
         factory=lambda: collections.deque(maxlen=_MOST_LATE_ORDERS)
@@ -413,7 +416,12 @@
                 life and prolong its leases.
         """
         kept = list(self.orders_by_key.values())
-        self.__init__(worker, listed=self.listed, held_at=now)
+        self.__init__(
+            worker,
+            listed=self.listed,
+            held_at=now,
+            was_ordered=self.was_ordered,
+        )
         for order in kept:
             self.add(order)
 
--- a/rosemaryroad/emulation/_worker_calls.py
+++ b/rosemaryroad/emulation/_worker_calls.py
@@ -134,7 +134,7 @@
             await self._time_out(_loop.now_ms(), wait_ms)
         await self._travel(self._name, worker.id)
         if not found.is_up:
-            raise endpoints.WorkerUnreachable('refused')
+            raise endpoints.WorkerDown('refused')
         return found
 
     async def _return(
--- a/rosemaryroad/endpoints/__init__.py
+++ b/rosemaryroad/endpoints/__init__.py
@@ -11,6 +11,7 @@
     '_http': ('HttpEndpointClient',),
     '_workers': (
         'WorkerClient',
+        'WorkerDown',
         'WorkerFenced',
         'WorkerReplaced',
         'WorkerUnreachable',
--- a/rosemaryroad/endpoints/_workers.py
+++ b/rosemaryroad/endpoints/_workers.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     'WorkerClient',
+    'WorkerDown',
     'WorkerFenced',
     'WorkerReplaced',
     'WorkerUnreachable',
@@ -19,6 +20,10 @@
     code = errors.ResultCode.NO_ENDPOINT
 
 
+class WorkerDown(WorkerUnreachable):
+    """Nobody listens at its address; its machine says so at once."""
+
+
 class WorkerReplaced(WorkerUnreachable):
     """Another life of the worker answers; the one asked has ended."""
 
@@ -60,6 +65,7 @@
         Raises:
             WorkerReplaced: Another life of it answers.
             WorkerFenced: It has seen a higher fence.
+            WorkerDown: Nobody listens at its address.
             WorkerUnreachable: There was no sound answer.
         """
 
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -9,6 +9,7 @@
 from rosemaryroad import endpoints
 from rosemaryroad import logs
 from rosemaryroad import model
+from rosemaryroad.jobserver import _fencing
 from rosemaryroad.jobserver import _metrics
 from rosemaryroad.jobserver import _sessions
 
@@ -19,6 +20,13 @@
 _LOSSY_WORKERS = 3
 _LOSSY_MS = 2_000.0
 
+# A worker that is down is asked often: until a call has reached its next life,
+# nothing refuses an order that comes late there. Many that are down share what
+# that costs.
+_DOWN_PAUSE_MS = 5.0
+_MIN_DOWN_PAUSE_MS = 50.0
+_MAX_DOWN_PAUSE_MS = 400.0
+
 _Send = collections.abc.Callable[[str, model.JobMessage], bool]
 
 
@@ -55,9 +63,18 @@
         self._dispatcher: dispatching.JobDispatcher | None = None
         self._session_by_worker: dict[str, _sessions.WorkerSession] = {}
         self._lost_at_by_worker: dict[str, float] = {}
+        self._down: set[str] = set()
         self._workers: tuple[model.Worker, ...] = ()
         self._drained_domains: frozenset[str] = frozenset()
         self._past_counts = dispatching.DecisionCounts()
+        self._fencing = _fencing.Fencing(
+            client,
+            self.fence,
+            self.fenced,
+            self._session_by_worker.__contains__,
+            clock,
+            _note_fault,
+        )
 
     @property
     def is_acting(self) -> bool:
@@ -69,25 +86,31 @@
         if acting == self.is_acting:
             return
         if acting:
-            claim = self._leadership.role.claim
+            is_deputy = self._leadership.role.claim is model.Claim.DEPUTY
             self._dispatcher = dispatching.JobDispatcher(
-                self._limits,
-                claim is model.Claim.DEPUTY,
-                self._leadership.pace.silent_ms,
+                self._limits, is_deputy, self._leadership.pace.silent_ms
             )
+            if is_deputy and self._fencing.may_orders_be_late:
+                # The dispatcher that it can't hear, whose fence it has, may
+                # have given them. That one goes up where both use a worker.
+                self.raise_fence(dispatching.RaiseFence('a deputy begins'))
             self._count_votes()
             self.drain_domains(self._drained_domains)
             self.list_workers(self._workers)
+            self._fencing.act(True)
             return
         self._past_counts.add(self._dispatcher.counts())
         self._dispatcher = None
         for session in self._session_by_worker.values():
             session.close()
         self._session_by_worker.clear()
+        self._down.clear()
+        self._fencing.act(False)
 
     def list_workers(self, workers: tuple[model.Worker, ...]) -> None:
         """Takes in which workers the cell has."""
         self._workers = workers
+        self._fencing.list_workers(workers)
         if self._dispatcher is None:
             return
         now = self._clock.now()
@@ -223,6 +246,7 @@
 
     def reported(self, worker: str, report: model.WorkerReport) -> None:
         """Takes in a report."""
+        self._down.discard(worker)
         if self._dispatcher is None:
             return
         now = self._clock.now()
@@ -257,15 +281,23 @@
             now = self._clock.now()
             self._carry_out(self._dispatcher.silent(worker, cause, now))
 
+    def down(self, worker: str) -> float:
+        """Takes in that nobody listens at a worker's address."""
+        self._down.add(worker)
+        pause = _DOWN_PAUSE_MS * len(self._down)
+        return min(max(pause, _MIN_DOWN_PAUSE_MS), _MAX_DOWN_PAUSE_MS)
+
     def replaced(self, worker: str) -> None:
         """Takes in that this life of a worker has ended."""
         if self._dispatcher is not None:
             now = self._clock.now()
             self._carry_out(self._dispatcher.worker_gone(worker, now))
 
-    def fenced(self, worker: str) -> None:
-        """Takes in that a worker has seen a higher fence."""
-        fence = self._leadership.fence
+    def fenced(self, worker: str, fence: int) -> None:
+        """Takes in that a worker has seen a higher fence than this one."""
+        if fence < self._leadership.fence:
+            # It has been raised since that call was sent.
+            return
         logs.event(
             _LOG, logging.WARNING, 'order_fenced', worker=worker, fence=fence
         )
@@ -296,6 +328,7 @@
             return
         for key in list(self._session_by_worker.keys() - wanted):
             self._session_by_worker.pop(key).close()
+            self._down.discard(key)
         for key in wanted - self._session_by_worker.keys():
             session = _sessions.WorkerSession(
                 self._dispatcher.worker(key), self._client, self, self._clock
@@ -343,6 +376,17 @@
         if session is not None:
             session.look()
 
+    def raise_fence(self, action: dispatching.RaiseFence) -> None:
+        """Has workers refuse the orders that were given so far."""
+        self._leadership.raise_fence()
+        logs.event(
+            _LOG,
+            logging.INFO,
+            'fence_raised',
+            fence=self.fence(),
+            cause=action.cause,
+        )
+
     def tell(self, action: dispatching.TellHome) -> None:
         """Tells a home about a job."""
         message = action.message
@@ -407,6 +451,10 @@
     )
 
 
+def _note_fault(error: BaseException) -> None:
+    logs.fault(_LOG, 'fencing_failed', error)
+
+
 @functools.singledispatch
 def _perform(action: dispatching.Action, _: Dispatching) -> None:
     raise TypeError(f'not an action: {action!r}')
@@ -427,6 +475,11 @@
     to.look(action)
 
 
+@_perform.register
+def _(action: dispatching.RaiseFence, to: Dispatching) -> None:
+    to.raise_fence(action)
+
+
 @_perform.register
 def _(action: dispatching.TellHome, to: Dispatching) -> None:
     to.tell(action)
--- a/rosemaryroad/jobserver/_sessions.py
+++ b/rosemaryroad/jobserver/_sessions.py
@@ -39,6 +39,10 @@
 
 _KEPT_ENDS_PAUSE_MS = 50.0
 
+# A worker that refuses for the fence is asked at once with a higher one; one
+# that goes on refusing is itself at fault.
+_MOST_REFUSALS = 16
+
 _LOST = (model.OrderResult.UNKNOWN, model.OrderResult.NOT_SENT)
 
 
@@ -105,13 +109,21 @@
     def silent(self, worker: str, cause: str) -> None:
         """Takes in that there was no answer."""
 
+    @abc.abstractmethod
+    def down(self, worker: str) -> float:
+        """Takes in that nobody listens at the worker's address.
+
+        Returns:
+            How long to wait before it is asked again.
+        """
+
     @abc.abstractmethod
     def replaced(self, worker: str) -> None:
         """Takes in that this life of the worker has ended."""
 
     @abc.abstractmethod
-    def fenced(self, worker: str) -> None:
-        """Takes in that the worker has seen a higher fence."""
+    def fenced(self, worker: str, fence: int) -> None:
+        """Takes in that the worker has seen a higher fence than this one."""
 
 
 @attrs.define(eq=False)
@@ -196,14 +208,19 @@
 
     async def _hold(self) -> None:
         failures = 0
+        refusals = 0
         wait_ms = 0.0
         while not self._closed:
             try:
                 await self._ask(wait_ms)
-                failures = 0
+                failures = refusals = 0
                 if self._acknowledged.leaves_some:
                     # The worker answers at once while it keeps an end.
                     await self._clock.sleep(_KEPT_ENDS_PAUSE_MS)
+            except endpoints.WorkerFenced:
+                refusals += 1
+                if refusals > _MOST_REFUSALS:
+                    await self._clock.sleep(_MAX_BACKOFF_MS)
             except endpoints.WorkerUnreachable as error:
                 failures += 1
                 self._handler.call_lost(self.worker.id)
@@ -215,7 +232,7 @@
                 self._note_fault(error)
                 unknown = endpoints.WorkerUnreachable('a fault')
                 await self._take_failure(failures, unknown)
-            wait_ms = 0.0 if failures else self._wait_ms()
+            wait_ms = 0.0 if failures or refusals else self._wait_ms()
 
     def _wait_ms(self) -> float:
         if self._handler.is_outvoted():
@@ -259,13 +276,14 @@
     ) -> None:
         if isinstance(error, endpoints.WorkerReplaced):
             self._handler.replaced(self.worker.id)
-        elif isinstance(error, endpoints.WorkerFenced):
-            self._handler.fenced(self.worker.id)
         elif failures >= _SILENT_AFTER:
             self._handler.silent(self.worker.id, error.detail)
-        if failures >= _SILENT_AFTER:
-            pause = min(_BACKOFF_MS * 2**failures, _MAX_BACKOFF_MS)
-            await self._clock.sleep(pause)
+        if failures < _SILENT_AFTER:
+            return
+        pause = min(_BACKOFF_MS * 2**failures, _MAX_BACKOFF_MS)
+        if isinstance(error, endpoints.WorkerDown):
+            pause = self._handler.down(self.worker.id)
+        await self._clock.sleep(pause)
 
     async def _ask(self, wait_ms: float) -> None:
         """Asks once, and passes the report on.
@@ -279,18 +297,21 @@
             return
         prolong = handler.may_prolong(self.worker.id)
         handler.held(self.worker.id)
+        fence = handler.fence()
         asked = self._acknowledged.mark
         try:
             report = await self._client.hold(
                 self.worker,
-                handler.fence(),
+                fence,
                 asked.number,
                 wait_ms,
                 prolong,
                 handler.spare_ms(),
             )
-        except endpoints.WorkerUnreachable:
+        except endpoints.WorkerUnreachable as error:
             self._acknowledged.call_lost()
+            if isinstance(error, endpoints.WorkerFenced):
+                handler.fenced(self.worker.id, fence)
             raise
         report = self._acknowledged.told(
             asked, report, self._concerns, self._clock.now()
@@ -318,7 +339,7 @@
                 self._handler.order_validity_ms(self.worker.id),
             )
         )
-        self._take_reply(reply)
+        self._take_reply(reply, fence)
         on_reply(start, reply)
 
     async def _stop(
@@ -328,7 +349,7 @@
         reply = await self._reply_to(
             self._client.stop(self.worker, fence, stop.task, stop.attempt)
         )
-        self._take_reply(reply)
+        self._take_reply(reply, fence)
         on_reply(stop, reply)
 
     async def _reply_to(
@@ -350,8 +371,8 @@
     def _concerns(self, row: model.EndedTask) -> bool:
         return self._handler.concerns(self.worker.id, row)
 
-    def _take_reply(self, reply: model.OrderReply) -> None:
+    def _take_reply(self, reply: model.OrderReply, fence: int) -> None:
         if reply.result is model.OrderResult.FENCED:
-            self._handler.fenced(self.worker.id)
+            self._handler.fenced(self.worker.id, fence)
         elif reply.result in _LOST:
             self._acknowledged.call_lost()
--- a/rosemaryroad/platform/_minions.py
+++ b/rosemaryroad/platform/_minions.py
@@ -110,7 +110,10 @@
                 worker, '/api/hold', _encode(body), wait_ms
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise endpoints.WorkerUnreachable(_http.describe(error)) from error
+            kind = endpoints.WorkerUnreachable
+            if _is_refused(error):
+                kind = endpoints.WorkerDown
+            raise kind(_http.describe(error)) from error
         if reply.status == _MISDIRECTED:
             raise endpoints.WorkerReplaced(worker.id)
         if reply.status == http.HTTPStatus.CONFLICT:
@@ -259,6 +262,13 @@
         return self._session
 
 
+def _is_refused(error: Exception) -> bool:
+    """Tells whether a connection was refused, so that nobody listens."""
+    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, (ConnectionRefusedError, ConnectionResetError)
+    )
+
+
 def _encode(body: dict[str, typing.Any]) -> _payloads.TrackedPayload:
     return _payloads.TrackedPayload(json.dumps(body).encode())
 
--- a/tests/dispatching/drawn_plays.py
+++ b/tests/dispatching/drawn_plays.py
@@ -13,6 +13,7 @@
 from rosemaryroad import model
 from tests.dispatching import drawn_drains
 from tests.dispatching import drawn_faults
+from tests.dispatching import drawn_lives
 from tests.dispatching import drawn_one_way
 from tests.dispatching import drawn_preemptions
 from tests.dispatching import drawn_returns
@@ -27,6 +28,7 @@
     DRAINS = 'drains'
     PREEMPTIONS = 'preemptions'
     RETURNS = 'returns'
+    LIVES = 'lives'
 
 
 _PLAY_BY_LIST = {
@@ -35,6 +37,7 @@
     FaultList.DRAINS: drawn_drains.DrawnDrains,
     FaultList.PREEMPTIONS: drawn_preemptions.DrawnPreemptions,
     FaultList.RETURNS: drawn_returns.DrawnReturns,
+    FaultList.LIVES: drawn_lives.DrawnLives,
 }
 
 
@@ -49,6 +52,7 @@
         repeated: Those that were started after they had ended well.
         drained_starts: Those that were started in a failure domain that was
             known to be drained.
+        wrong_starts: Those that were started without the label they require.
         preemptions: How many tasks were stopped for more urgent jobs.
     """
 
@@ -57,12 +61,14 @@
     doubled: tuple[played_service.Doubled, ...]
     repeated: tuple[model.TaskId, ...]
     drained_starts: tuple[played_service.DrainedStart, ...]
+    wrong_starts: tuple[played_service.WrongStart, ...]
     preemptions: int
 
     @property
     def is_broken(self) -> bool:
         """Whether a rule was broken, or nothing was played."""
-        return bool(self.doubled or self.drained_starts or not self.starts)
+        broken = self.doubled or self.drained_starts or self.wrong_starts
+        return bool(broken or not self.starts)
 
 
 @attrs.frozen
@@ -85,6 +91,7 @@
         tuple(service.doubled),
         tuple(service.repeated),
         tuple(service.drained_starts),
+        tuple(service.wrong_starts),
         service.preemptions,
     )
 
--- a/tests/dispatching/drawn_returns.py
+++ b/tests/dispatching/drawn_returns.py
@@ -49,6 +49,7 @@
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
         self._waiting: list[_Client] = []
+        self._fields_by_job: dict[str, dict[str, object]] = {}
         self._alone: list[str] = []
 
     async def play(self) -> None:
@@ -93,11 +94,18 @@
     def _submit(
         self, job: str, vm: str, deadline_ms: float, returns: int = 0
     ) -> None:
-        answer = self.service.submit(vm, job, deadline_ms)
+        fields = self._fields_by_job.get(job)
+        if fields is None:
+            fields = self._fields_by_job[job] = self._job_fields()
+        answer = self.service.submit(vm, job, deadline_ms, **fields)
         client = _Client(job, vm, answer, returns)
         self._waiting.append(client)
         self.service.call_later(deadline_ms, self._leave, client, deadline_ms)
 
+    def _job_fields(self) -> dict[str, object]:
+        """Returns the fields of a job that differ from the usual ones."""
+        return {}
+
     def _leave(self, client: _Client, deadline_ms: float) -> None:
         """Has a client come again that was given no final answer."""
         if client not in self._waiting:
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -20,6 +20,7 @@
 from rosemaryroad import model
 from rosemaryroad.jobserver import _acknowledged
 from tests.dispatching import case
+from tests.dispatching import played_worker
 
 STORE = 'store'
 _HOP_MS = 1.0
@@ -29,11 +30,11 @@
 _IDLE_WAIT_MS = 900.0
 _SHARED_WAIT_MS = 100.0
 _BACKOFF_MS = 400.0
+_REFUSED_PAUSE_MS = 50.0
+_FENCE_OFF_MS = 15_000.0
 _RELINK_MS = 100.0
-_LEASE_MS = 1_000.0
 _LONG_MS = 3_600_000.0
-_FIRST_BORN_MS = 1_700_000_000_000
-_LIMITS = dispatching.DispatchLimits(lease_ms=_LEASE_MS)
+_LIMITS = dispatching.DispatchLimits(lease_ms=played_worker.LEASE_MS)
 
 # How long after a change, or after the store is reached again, a VM reads it.
 _READ_MS = 100.0
@@ -79,150 +80,23 @@
     known_ms: float
 
 
-@attrs.define(eq=False)
-class _Run:
-    starter: str
-    since: float
-    run_ms: float
-    until: float
-    stopped_at: float = math.inf
-
-
-class _Worker:
-    """Runs what it is told under a lease, and lists how it ended.
+@attrs.frozen
+class WrongStart:
+    """A task that was started on a worker without the label it requires.
 
     Attributes:
-        listed: Its entry, which may name an earlier life.
-        born: Its present life.
-        runs: What it runs.
-        done: What has ended well, in any of its lives.
+        at: When.
+        task: The task.
+        worker: Where.
+        starter: Who started it.
+        is_late: Whether the order was carried out late.
     """
 
-    def __init__(
-        self,
-        worker: model.Worker,
-        run_ms: float,
-        run_ms_by_job: dict[str, float],
-    ) -> None:
-        self.done: set[model.TaskId] = set()
-        self.born = _FIRST_BORN_MS
-        self.listed = attrs.evolve(worker, born=self.born)
-        self._run_ms = run_ms
-        self._run_ms_by_job = run_ms_by_job
-        self._clock_from = 0.0
-        self._begin()
-
-    def restart(self, now: float) -> None:
-        """Forgets all, and what ran is gone; its clock starts anew."""
-        self.born = max(self.born + 1, _FIRST_BORN_MS + int(now))
-        self._clock_from = now
-        self._begin()
-
-    def clock(self, now: float) -> float:
-        """Returns what its clock shows."""
-        return now - self._clock_from
-
-    def _begin(self) -> None:
-        self.runs: dict[tuple[model.TaskId, int], _Run] = {}
-        self._highest: dict[model.TaskId, int] = {}
-        self._ended: list[model.EndedTask] = []
-        self._numbers = itertools.count(1)
-        self._lease_end = 0.0
-        self._fence = 0
-        self.waiting: list = []
-
-    def settle(self, now: float) -> None:
-        """Ends what has run its time, or whose lease has lapsed."""
-        for key, run in list(self.runs.items()):
-            if run.until <= min(now, self._lease_end, run.stopped_at):
-                self._end(key, model.TaskEnd.DONE)
-            elif run.stopped_at <= now:
-                self._end(key, model.TaskEnd.STOPPED)
-            elif self._lease_end <= now:
-                self._end(key, model.TaskEnd.LAPSED)
-
-    def start(
-        self,
-        order: dispatching.StartTask,
-        starter: str,
-        fence: int,
-        now: float,
-        lease_end: float,
-    ) -> model.OrderResult:
-        """Carries out an order to start, if its lease has not lapsed."""
-        key = (order.task, order.attempt)
-        if fence < self._fence:
-            return model.OrderResult.FENCED
-        self._fence = fence
-        if lease_end <= self.clock(now):
-            return model.OrderResult.TOO_LATE
-        if order.attempt <= self._highest.get(order.task, 0):
-            return model.OrderResult.STALE_ATTEMPT
-        self._highest[order.task] = order.attempt
-        until = min(self._clock_from + lease_end, now + _LEASE_MS)
-        self._lease_end = max(self._lease_end, until)
-        run_ms = self._run_ms_by_job.get(order.task.job, self._run_ms)
-        self.runs[key] = _Run(starter, now, run_ms, now + run_ms)
-        return model.OrderResult.DONE
-
-    def stop(
-        self,
-        order: dispatching.StopTask,
-        fence: int,
-        now: float,
-        stop_ms: float,
-    ) -> bool:
-        """Carries out an order to stop; what is stopped runs on so long.
-
-        Returns:
-            Whether the fence is high enough.
-        """
-        if fence < self._fence:
-            return False
-        known = self._highest.get(order.task, 0)
-        self._highest[order.task] = max(known, order.attempt)
-        key = (order.task, order.attempt)
-        if key in self.runs and stop_ms:
-            run = self.runs[key]
-            run.stopped_at = min(run.stopped_at, now + stop_ms)
-        elif key in self.runs:
-            self._end(key, model.TaskEnd.STOPPED)
-        return True
-
-    def hold(
-        self, fence: int, acknowledged: int, lease_ms: float, now: float
-    ) -> bool:
-        """Prolongs leases; tells whether the fence is high enough."""
-        if fence < self._fence:
-            return False
-        self._fence = fence
-        self._ended = [row for row in self._ended if row.number > acknowledged]
-        if lease_ms:
-            self._lease_end = max(self._lease_end, now + lease_ms)
-        return True
-
-    @property
-    def has_ends(self) -> bool:
-        """Whether it has an end to tell."""
-        return bool(self._ended)
-
-    def report(self, asked_at: float, now: float) -> model.WorkerReport:
-        """Tells what runs, and what has ended."""
-        running = tuple(
-            model.RunningTask(
-                *key, min(99.0, 100.0 * (now - run.since) / run.run_ms)
-            )
-            for key, run in self.runs.items()
-        )
-        return model.WorkerReport(
-            self.clock(now), asked_at, running, tuple(self._ended), self.born
-        )
-
-    def _end(self, key: tuple[model.TaskId, int], how: model.TaskEnd) -> None:
-        del self.runs[key]
-        if how is model.TaskEnd.DONE:
-            self.done.add(key[0])
-        self._ended.append(model.EndedTask(next(self._numbers), *key, how))
+    at: float
+    task: model.TaskId
+    worker: str
+    starter: str
+    is_late: bool
 
 
 @attrs.frozen
@@ -262,6 +136,7 @@
     told_at_by_vm: dict[str, float] = attrs.field(factory=dict)
     held_by_worker: dict[str, _Held] = attrs.field(factory=dict)
     waiting: list = attrs.field(factory=list)
+    gone_until_by_worker: dict[str, float] = attrs.field(factory=dict)
 
 
 class PlayedService:
@@ -272,6 +147,9 @@
         repeated: Tasks that were started after they had ended well.
         drained_starts: Tasks that were started in a drained failure domain
             later than a VM that is in touch has to know of the drain.
+        wrong_starts: Tasks that were started without the label they require.
+        late_at_by_worker: When the last late start comes to each worker that
+            got one.
         starts: How many tasks were started.
         preemptions: How many tasks were stopped for more urgent jobs.
 
@@ -286,6 +164,7 @@
             says so to an order to stop, as the platform's workers do. The
             older lists of drawn faults are played with workers that answer as
             if they had stopped the attempt.
+        labels: The labels of the workers of each domain, in turn.
     """
 
     def __init__(
@@ -297,11 +176,14 @@
         limits: dispatching.DispatchLimits = _LIMITS,
         stop_ms: float = 0.0,
         tells_fenced_stops: bool = False,
+        labels: collections.abc.Sequence[str] = (),
     ) -> None:
         self.clock = clock_module.ManualClock(100_000.0)
         self.doubled: list[Doubled] = []
         self.repeated: list[model.TaskId] = []
         self.drained_starts: list[DrainedStart] = []
+        self.wrong_starts: list[WrongStart] = []
+        self.late_at_by_worker: dict[str, float] = {}
         self.starts = 0
         self.preemptions = 0
         self._limits = limits
@@ -314,20 +196,27 @@
         self._delay_by_worker: dict[str, float] = {}
         self._stop_delay_by_worker: dict[str, float] = {}
         self._run_ms_by_job: dict[str, float] = {}
+        self._label_by_job: dict[str, str] = {}
+        self._draw_lateness: collections.abc.Callable[[], float | None] = (
+            lambda: None
+        )
+        self._questions = itertools.count(1)
+        self._lives_changed_at = -math.inf
         self._row = dispatching.LeaseRow(0, '')
         self._drains = model.DomainDrains(1)
         self._drained_at_by_domain: dict[str, float] = {}
         self._relink_at = 0.0
         self.vm_by_name: dict[str, _Vm] = {}
-        self.worker_by_id: dict[str, _Worker] = {}
+        self.worker_by_id: dict[str, played_worker.PlayedWorker] = {}
         self._tasks: set[asyncio.Task] = set()
         for letter in 'abcdefgh'[:domains]:
             for number in range(workers):
                 worker = attrs.evolve(
                     case.make_worker(f'{letter}-w{number}'),
                     failure_domain=letter,
+                    labels=(labels[number % len(labels)],) if labels else (),
                 )
-                self.worker_by_id[worker.id] = _Worker(
+                self.worker_by_id[worker.id] = played_worker.PlayedWorker(
                     worker, run_ms, self._run_ms_by_job
                 )
             for number in range(1, vms + 1):
@@ -394,6 +283,17 @@
         """Has starts reach some workers late; they stay unanswered."""
         self._delay_by_worker |= dict.fromkeys(workers, ms)
 
+    def delay_some(
+        self, draw_lateness: collections.abc.Callable[[], float | None]
+    ) -> None:
+        """Has some starts come late; they stay unanswered.
+
+        Args:
+            draw_lateness: Returns by how many ms the next one is late, or
+                None for one that is not.
+        """
+        self._draw_lateness = draw_lateness
+
     def delay_stops(self, workers: set[str], ms: float) -> None:
         """Has stops reach some workers late, or never where it is infinite.
 
@@ -429,15 +329,61 @@
             # They reach it after it has started again.
             restarted.waiting = questions
             questions = []
+        self._break_calls(questions)
+        self._at(self.now + listed_after_ms, self._list_again, worker)
+
+    def _break_calls(self, questions: list) -> None:
         for question in questions:
             self._at(self.now + _HOP_MS, self._hold_unanswered, *question)
-        self._at(self.now + listed_after_ms, self._list_again, worker)
+
+    def crash(
+        self,
+        worker: str,
+        down_ms: float,
+        expires_after_ms: float,
+        listed_after_ms: float,
+        labels: tuple[str, ...] | None = None,
+    ) -> None:
+        """Has a worker crash, and start again under its id.
+
+        Args:
+            worker: The worker.
+            down_ms: For how long it is down.
+            expires_after_ms: When its entry is dropped, if it is down still.
+            listed_after_ms: How long after its start its new entry stands.
+            labels: What it is from then on, if not what it was.
+        """
+        crashed = self.worker_by_id[worker]
+        born = crashed.born
+        self._break_calls(crashed.waiting)
+        crashed.crash()
+        self._at(self.now + expires_after_ms, self._expire, worker, born)
+        back_at = self.now + down_ms
+        self._at(back_at, self._return, worker, labels)
+        self._at(back_at + listed_after_ms, self._list_again, worker)
+
+    def _return(self, worker: str, labels: tuple[str, ...] | None) -> None:
+        returned = self.worker_by_id[worker]
+        if labels is not None:
+            returned.labels = labels
+        returned.restart(self.now)
+
+    def _expire(self, worker: str, born: int) -> None:
+        expired = self.worker_by_id[worker]
+        if expired.listed is not None and expired.listed.born == born:
+            expired.listed = None
+            self._lives_changed_at = self.now
+            until = self.now + _FENCE_OFF_MS
+            for vm in self.vm_by_name.values():
+                vm.gone_until_by_worker[worker] = until
+            self._list_everywhere()
 
     def heal(self) -> None:
         """Lets everything through again."""
         self._blocked.clear()
         self._deaf.clear()
         self._delay_by_worker.clear()
+        self._draw_lateness = lambda: None
         self._stop_delay_by_worker.clear()
 
     def freeze(self, vm: str, ms: float) -> None:
@@ -479,6 +425,7 @@
         job = case.make_job(job_id, **(usual | fields))
         if run_ms is not None:
             self._run_ms_by_job[job_id] = run_ms
+        self._label_by_job[job_id] = job.label
         home = self.vm_by_name[vm].home
         # The service's own clock ends jobs, not the loop's.
         task = asyncio.ensure_future(home.submit(job, _LONG_MS))
@@ -595,6 +542,7 @@
             self._count_votes(vm)
             self._carry_out(vm, vm.dispatcher.tick(self.now))
             self._hold_all(vm)
+            self._fence_off(vm)
         vm.home.hand_again()
         self._pulse_if_due(vm)
 
@@ -624,11 +572,13 @@
         vm.role = role
         acts = role.claim is not model.Claim.NONE
         if acts and vm.dispatcher is None:
+            is_deputy = role.claim is model.Claim.DEPUTY
             vm.dispatcher = dispatching.JobDispatcher(
-                self._limits,
-                role.claim is model.Claim.DEPUTY,
-                vm.leadership.pace.silent_ms,
+                self._limits, is_deputy, vm.leadership.pace.silent_ms
             )
+            lives_changed_ms = self.now - self._lives_changed_at
+            if is_deputy and lives_changed_ms < _FENCE_OFF_MS:
+                vm.leadership.raise_fence()
             vm.held_by_worker = {key: _Held() for key in self.worker_by_id}
             self._drain_workers(vm)
             self._list_workers(vm)
@@ -638,17 +588,37 @@
         self._pulse(vm)
 
     def _list_workers(self, vm: _Vm) -> None:
-        workers = [item.listed for item in self.worker_by_id.values()]
+        workers = [
+            item.listed
+            for item in self.worker_by_id.values()
+            if item.listed is not None
+        ]
         actions = vm.dispatcher.workers_listed(workers, self.now)
+        self._sync_sessions(vm)
         # Questions that are asked for go out after sessions know the life.
         for worker in workers:
             held = vm.held_by_worker[worker.id]
             held.acknowledged.life_listed(worker.born)
         self._carry_out(vm, actions)
 
+    def _sync_sessions(self, vm: _Vm) -> None:
+        wanted = vm.dispatcher.worker_ids
+        if wanted == vm.held_by_worker.keys():
+            return
+        for key in vm.held_by_worker.keys() - wanted:
+            del vm.held_by_worker[key]
+        for key in self.worker_by_id:
+            if key in wanted and key not in vm.held_by_worker:
+                vm.held_by_worker[key] = _Held()
+
     def _list_again(self, worker_id: str) -> None:
         worker = self.worker_by_id[worker_id]
-        worker.listed = attrs.evolve(worker.listed, born=worker.born)
+        if worker.is_up:
+            worker.register()
+            self._lives_changed_at = self.now
+            self._list_everywhere()
+
+    def _list_everywhere(self) -> None:
         for vm in self.vm_by_name.values():
             if vm.dispatcher is not None:
                 self._list_workers(vm)
@@ -691,9 +661,7 @@
         self, order: dispatching.StartTask, starter: str
     ) -> None:
         worker = self.worker_by_id[order.worker]
-        drained_at = self._drained_at_by_domain.get(
-            worker.listed.failure_domain
-        )
+        drained_at = self._drained_at_by_domain.get(worker.failure_domain)
         vm = self.vm_by_name.get(starter)
         if drained_at is None or vm is None:
             return
@@ -777,10 +745,14 @@
 
     def _takes_order(self, vm: _Vm, worker_id: str) -> bool:
         return (
-            self._reaches(vm.name, worker_id) and worker_id not in self._deaf
+            self._reaches(vm.name, worker_id)
+            and worker_id not in self._deaf
+            and self.worker_by_id[worker_id].is_up
         )
 
     def _carry_out(self, vm: _Vm, actions: list[dispatching.Action]) -> None:
+        if vm.dispatcher is not None:
+            self._sync_sessions(vm)
         for action in actions:
             if isinstance(action, dispatching.TellHome):
                 self._send(vm.name, action.vm, action.message)
@@ -790,6 +762,8 @@
                 self._stop(vm, action)
             elif isinstance(action, dispatching.LookAt):
                 self._ask(vm, action.worker)
+            elif isinstance(action, dispatching.RaiseFence):
+                vm.leadership.raise_fence()
             elif isinstance(action, dispatching.Noted):
                 self.preemptions += action.event == 'task_preempted'
 
@@ -798,7 +772,7 @@
         wanted = dispatcher is not None and dispatcher.is_wanted(order)
         if not wanted or not vm.leadership.may_order(self.now):
             reply = model.OrderReply(model.OrderResult.NOT_SENT)
-            self._reply(vm, dispatcher, order, reply)
+            self._reply(vm, dispatcher, order, reply, 0)
             return
         dispatcher.start_sent(order.worker, self.now)
         fence = vm.leadership.fence
@@ -808,13 +782,16 @@
             worker = self.worker_by_id[order.worker]
             lease_end = worker.clock(self.now) + lease_ms
             delay_ms = self._delay_by_worker.get(order.worker)
+            if delay_ms is None:
+                delay_ms = self._draw_lateness()
             arguments = (order, vm.name, fence, lease_end)
             if delay_ms is None:
                 result = self._arrive_at_worker(*arguments)
             else:
+                self.late_at_by_worker[order.worker] = self.now + delay_ms
                 when = self.now + delay_ms
-                self._at(when, self._arrive_at_worker, *arguments)
-        self._answer(vm, dispatcher, order, result)
+                self._at(when, self._arrive_at_worker, *arguments, True)
+        self._answer(vm, dispatcher, order, result, fence)
 
     def _arrive_at_worker(
         self,
@@ -822,17 +799,34 @@
         starter: str,
         fence: int,
         lease_end: float,
+        is_late: bool = False,
     ) -> model.OrderResult:
         worker = self.worker_by_id[order.worker]
+        if not worker.is_up:
+            return model.OrderResult.UNKNOWN
         worker.settle(self.now)
         result = worker.start(order, starter, fence, self.now, lease_end)
         if result is model.OrderResult.DONE:
-            self._note_start(order, starter)
+            self._note_start(order, starter, is_late)
         return result
 
-    def _note_start(self, order: dispatching.StartTask, starter: str) -> None:
+    def _note_wrong_start(
+        self, order: dispatching.StartTask, starter: str, is_late: bool
+    ) -> None:
+        label = self._label_by_job.get(order.task.job)
+        if label and label not in self.worker_by_id[order.worker].labels:
+            self.wrong_starts.append(
+                WrongStart(
+                    self.now, order.task, order.worker, starter, is_late
+                )
+            )
+
+    def _note_start(
+        self, order: dispatching.StartTask, starter: str, is_late: bool
+    ) -> None:
         self.starts += 1
         self._note_drained_start(order, starter)
+        self._note_wrong_start(order, starter, is_late)
         if any(order.task in w.done for w in self.worker_by_id.values()):
             self.repeated.append(order.task)
         for worker_id, worker in self.worker_by_id.items():
@@ -852,47 +846,64 @@
     def _stop(self, vm: _Vm, order: dispatching.StopTask) -> None:
         result = model.OrderResult.UNKNOWN
         delay_ms = self._stop_delay_by_worker.get(order.worker)
+        fence = vm.leadership.fence
         if self._takes_order(vm, order.worker):
-            fence = vm.leadership.fence
             if delay_ms is None:
                 result = self._stop_at_worker(order, fence)
             elif not math.isinf(delay_ms):
                 when = self.now + delay_ms
                 self._at(when, self._stop_at_worker, order, fence)
-        self._answer(vm, vm.dispatcher, order, result)
+        self._answer(vm, vm.dispatcher, order, result, fence)
 
     def _stop_at_worker(
         self, order: dispatching.StopTask, fence: int
     ) -> model.OrderResult:
         worker = self.worker_by_id[order.worker]
+        if not worker.is_up:
+            return model.OrderResult.UNKNOWN
         worker.settle(self.now)
         is_done = worker.stop(order, fence, self.now, self._stop_ms)
         if is_done or not self._tells_fenced_stops:
             return model.OrderResult.DONE
         return model.OrderResult.FENCED
 
-    def _answer(self, vm: _Vm, dispatcher, order, result) -> None:
+    def _answer(
+        self,
+        vm: _Vm,
+        dispatcher: dispatching.JobDispatcher,
+        order: dispatching.StartTask | dispatching.StopTask,
+        result: model.OrderResult,
+        fence: int,
+    ) -> None:
         if not self._reaches(order.worker, vm.name):
             result = model.OrderResult.UNKNOWN
         is_lost = result is model.OrderResult.UNKNOWN
         when = self.now + (_ANSWER_MS if is_lost else 2 * _HOP_MS)
         worker_clock = self.worker_by_id[order.worker].clock(self.now)
         reply = model.OrderReply(result, 0.0 if is_lost else worker_clock)
-        self._at(when, self._reply, vm, dispatcher, order, reply)
+        self._at(when, self._reply, vm, dispatcher, order, reply, fence)
 
     def _reply(
-        self, vm: _Vm, dispatcher, order, reply: model.OrderReply
+        self,
+        vm: _Vm,
+        dispatcher: dispatching.JobDispatcher | None,
+        order: dispatching.StartTask | dispatching.StopTask,
+        reply: model.OrderReply,
+        fence: int,
     ) -> None:
         if dispatcher is None or vm.dispatcher is not dispatcher:
             return
         if vm.frozen_until > self.now:
-            arguments = (vm, dispatcher, order, reply)
+            arguments = (vm, dispatcher, order, reply, fence)
             vm.waiting.append((self._reply, arguments))
             return
+        held = vm.held_by_worker.get(order.worker)
+        if held is None:
+            return
         if reply.result is model.OrderResult.FENCED:
-            vm.leadership.fenced(vm.leadership.fence)
+            vm.leadership.fenced(fence)
         elif reply.result is model.OrderResult.UNKNOWN:
-            vm.held_by_worker[order.worker].acknowledged.call_lost()
+            held.acknowledged.call_lost()
         if isinstance(order, dispatching.StartTask):
             actions = dispatcher.start_answered(order, reply, self.now)
         else:
@@ -900,15 +911,34 @@
         self._carry_out(vm, actions)
 
     def _hold_all(self, vm: _Vm) -> None:
-        for worker_id, held in vm.held_by_worker.items():
+        for worker_id, held in list(vm.held_by_worker.items()):
             if vm.dispatcher is not None and self.now >= held.next_at:
                 self._hold(vm, worker_id)
 
+    def _fence_off(self, vm: _Vm) -> None:
+        """Brings the fence to workers that are gone, where they are back."""
+        for worker_id, until in list(vm.gone_until_by_worker.items()):
+            worker = self.worker_by_id[worker_id]
+            if self.now >= until or worker.listed is not None:
+                del vm.gone_until_by_worker[worker_id]
+                continue
+            if not worker.is_up or not self._reaches(vm.name, worker_id):
+                continue
+            if worker_id in vm.held_by_worker:
+                continue
+            fence = vm.leadership.fence
+            if worker.hold(fence, 0, 0.0, self.now):
+                del vm.gone_until_by_worker[worker_id]
+            else:
+                vm.leadership.fenced(fence)
+
     def _hold(self, vm: _Vm, worker_id: str) -> None:
         """Asks a worker; it waits for an end before it answers."""
         dispatcher = vm.dispatcher
-        held = vm.held_by_worker[worker_id]
-        if dispatcher is None or not vm.leadership.may_order(self.now):
+        held = vm.held_by_worker.get(worker_id)
+        if held is None or dispatcher is None:
+            return
+        if not vm.leadership.may_order(self.now):
             return
         wait_ms = 0.0
         if held.question and not held.failures:
@@ -916,33 +946,35 @@
             wait_ms = _BUSY_WAIT_MS if is_busy else _IDLE_WAIT_MS
             if dispatcher.is_outvoted:
                 wait_ms = _SHARED_WAIT_MS
-        held.question += 1
+        held.question = next(self._questions)
         held.next_at = self.now + _LONG_MS
         prolong = dispatcher.may_prolong(worker_id, self.now)
-        lease_ms = _LEASE_MS - dispatcher.spare_ms if prolong else 0.0
+        lease_ms = _lease_ms(dispatcher) if prolong else 0.0
         dispatcher.held(worker_id, self.now)
         asked = held.acknowledged.mark
         question = (vm, dispatcher, worker_id, held.question, self.now, asked)
-        if self._reaches(vm.name, worker_id):
-            worker = self.worker_by_id[worker_id]
+        worker = self.worker_by_id[worker_id]
+        if self._reaches(vm.name, worker_id) and worker.is_up:
             worker.settle(self.now)
             fence = vm.leadership.fence
             if not worker.hold(fence, asked.number, lease_ms, self.now):
-                vm.leadership.fenced(vm.leadership.fence)
+                vm.leadership.fenced(fence)
                 held.next_at = self.now + 2 * _HOP_MS
                 return
             worker.waiting.append(question)
             self._at(self.now + wait_ms, self._tell, worker, question)
-        self._at(
-            self.now + wait_ms + _ANSWER_MS, self._hold_unanswered, *question
-        )
+        # A worker that is down refuses the connection.
+        left_ms = wait_ms + _ANSWER_MS if worker.is_up else _HOP_MS
+        self._at(self.now + left_ms, self._hold_unanswered, *question)
 
-    def _tell_ends(self, worker: _Worker) -> None:
+    def _tell_ends(self, worker: played_worker.PlayedWorker) -> None:
         for question in list(worker.waiting):
             if worker.has_ends:
                 self._tell(worker, question)
 
-    def _tell(self, worker: _Worker, question: tuple) -> None:
+    def _tell(
+        self, worker: played_worker.PlayedWorker, question: tuple
+    ) -> None:
         if question not in worker.waiting:
             return
         worker.waiting.remove(question)
@@ -964,8 +996,10 @@
         asked,
         report,
     ) -> None:
-        held = vm.held_by_worker[worker_id]
-        if vm.dispatcher is not dispatcher or held.question != number:
+        held = vm.held_by_worker.get(worker_id)
+        if vm.dispatcher is not dispatcher or held is None:
+            return
+        if held.question != number:
             return
         if vm.frozen_until > self.now:
             arguments = (vm, dispatcher, worker_id, number, 0, asked, report)
@@ -980,8 +1014,10 @@
     def _hold_unanswered(
         self, vm: _Vm, dispatcher, worker_id: str, number: int, *_
     ) -> None:
-        held = vm.held_by_worker[worker_id]
-        if vm.dispatcher is not dispatcher or held.question != number:
+        held = vm.held_by_worker.get(worker_id)
+        if vm.dispatcher is not dispatcher or held is None:
+            return
+        if held.question != number:
             return
         if vm.frozen_until > self.now:
             arguments = (vm, dispatcher, worker_id, number)
@@ -991,25 +1027,30 @@
         held.failures += 1
         held.acknowledged.call_lost()
         if held.failures >= 2:
-            held.next_at += _BACKOFF_MS
+            is_up = self.worker_by_id[worker_id].is_up
+            held.next_at += _BACKOFF_MS if is_up else _REFUSED_PAUSE_MS
             actions = dispatcher.silent(worker_id, 'no answer', self.now)
             self._carry_out(vm, actions)
 
     def _ask(self, vm: _Vm, worker_id: str) -> None:
         """Asks a worker out of turn; it answers at once, or not at all."""
         dispatcher = vm.dispatcher
-        if dispatcher is None or not vm.leadership.may_order(self.now):
+        held = vm.held_by_worker.get(worker_id)
+        if dispatcher is None or held is None:
+            return
+        if not vm.leadership.may_order(self.now):
             return
         prolong = dispatcher.may_prolong(worker_id, self.now)
-        lease_ms = _LEASE_MS - dispatcher.spare_ms if prolong else 0.0
+        lease_ms = _lease_ms(dispatcher) if prolong else 0.0
         dispatcher.held(worker_id, self.now)
-        if not self._reaches(vm.name, worker_id):
-            return
         worker = self.worker_by_id[worker_id]
+        if not self._reaches(vm.name, worker_id) or not worker.is_up:
+            return
         worker.settle(self.now)
-        asked = vm.held_by_worker[worker_id].acknowledged.mark
+        asked = held.acknowledged.mark
         fence = vm.leadership.fence
         if not worker.hold(fence, asked.number, lease_ms, self.now):
+            vm.leadership.fenced(fence)
             return
         report = worker.report(self.now, self.now)
         if self._reaches(worker_id, vm.name):
@@ -1032,7 +1073,9 @@
             arguments = (vm, dispatcher, worker_id, asked, report)
             vm.waiting.append((self._reported, arguments))
             return
-        held = vm.held_by_worker[worker_id]
+        held = vm.held_by_worker.get(worker_id)
+        if held is None:
+            return
         report = held.acknowledged.told(
             asked,
             report,
@@ -1043,6 +1086,10 @@
         self._carry_out(vm, actions)
 
 
+def _lease_ms(dispatcher: dispatching.JobDispatcher) -> float:
+    return played_worker.LEASE_MS - dispatcher.spare_ms
+
+
 def end_of(task: asyncio.Task) -> model.JobEnd | None:
     """Returns how a job has ended, or None where its client has no answer."""
     # A client of a VM that was killed gets no answer.
--- a/tests/dispatching/test_leadership.py
+++ b/tests/dispatching/test_leadership.py
@@ -711,3 +711,59 @@
             if may_order:
                 self.assertEqual(set(peers), given_up)
         self.assertTrue(may_order)
+
+
+class RaisedFenceTest(unittest.TestCase):
+    """Workers that have started again refuse what came before."""
+
+    def setUp(self) -> None:
+        self.group = played_group.PlayedGroup('a', 'b', 'c')
+        self.group.run(2_000)
+        [self.first] = self.group.claims()
+
+    @property
+    def leadership(self) -> dispatching.Leadership:
+        """Who dispatches."""
+        return self.group.vm_by_name[self.first].leadership
+
+    def _raise(self, times: int) -> None:
+        for _ in range(times):
+            self.leadership.raise_fence()
+
+    def test_a_successor_goes_beyond_it(self) -> None:
+        """Its own orders would be refused by workers that have seen it."""
+        self._raise(5)
+        fence = self.leadership.fence
+        self.group.run(200)
+        self.group.kill(self.first)
+        self.group.run(1_000)
+        [successor] = self.group.claims()
+        leadership = self.group.vm_by_name[successor].leadership
+        self.assertGreater(leadership.fence, fence)
+
+    def test_who_dispatches_stays_the_same(self) -> None:
+        term = self.leadership.role.term
+        self._raise(100)
+        self.group.run(3_000)
+        self.assertEqual([self.first], list(self.group.claims()))
+        self.assertEqual(term, self.leadership.role.term)
+
+    def test_the_row_keeps_up_with_it(self) -> None:
+        """All VMs are lost, and the row is all that is left.
+
+        The next dispatcher would be refused once for each fence between.
+        """
+        for _ in range(30):
+            self._raise(1)
+            self.group.run(500)
+        lead = self.leadership.fence - self.group.row.term
+        self.assertLess(lead, 16)
+        self.assertEqual(self.first, self.group.row.vm)
+
+    def test_a_row_that_names_another_one_is_left_alone(self) -> None:
+        """This VM has been replaced, and doesn't know yet."""
+        self._raise(20)
+        row = dispatching.LeaseRow(self.leadership.role.term + 1, 'other')
+        self.leadership.row_read(row, self.group.now)
+        now = self.group.now + 5_000
+        self.assertIsNone(self.leadership.wants_claim(now))
--- a/tests/jobserver/test_sessions.py
+++ b/tests/jobserver/test_sessions.py
@@ -6,6 +6,7 @@
 
 from rosemaryroad import clock
 from rosemaryroad import dispatching
+from rosemaryroad import endpoints
 from rosemaryroad import model
 from rosemaryroad.jobserver import _sessions
 from tests.dispatching import case
@@ -86,3 +87,81 @@
         self.assertEqual(
             [model.OrderResult.UNKNOWN] * 2, [item.result for item in replies]
         )
+
+
+class _RefusingClient:
+    """Raises an error at each of its first calls, then answers."""
+
+    def __init__(self, error: Exception, times: int) -> None:
+        self._error = error
+        self._left = times
+        self.fences: list[int] = []
+
+    async def hold(
+        self, _: model.Worker, fence: int, *__: object
+    ) -> model.WorkerReport:
+        await asyncio.sleep(0)
+        self.fences.append(fence)
+        if self._left:
+            self._left -= 1
+            raise self._error
+        return _REPORT
+
+    def forget(self, _: model.Worker) -> None:
+        pass
+
+
+class AskingAgainTest(unittest.IsolatedAsyncioTestCase):
+    """How soon a worker is asked again that has no report to give."""
+
+    async def _hold(
+        self, error: Exception, times: int
+    ) -> tuple[_RefusingClient, mock.Mock, float]:
+        client = _RefusingClient(error, times)
+        time = clock.ManualClock()
+        handler = mock.create_autospec(_sessions.SessionHandler, instance=True)
+        fences = iter(range(1, 1_000))
+        handler.may_order.return_value = True
+        handler.fence.side_effect = lambda: next(fences)
+        handler.down.return_value = 50.0
+        reported_at = []
+        handler.reported.side_effect = lambda *_: reported_at.append(
+            time.now()
+        )
+        session = _sessions.WorkerSession(
+            case.make_worker('w1'), client, handler, time
+        )
+        self.addCleanup(session.close)
+        session.open()
+        while not reported_at:
+            await asyncio.sleep(0)
+        session.close()
+        return client, handler, reported_at[0]
+
+    async def test_one_that_knows_a_higher_fence_is_asked_at_once(
+        self,
+    ) -> None:
+        """After a loss of all VMs every worker refuses several times."""
+        error = endpoints.WorkerFenced('w1')
+        client, handler, waited_ms = await self._hold(error, 9)
+        self.assertEqual(0.0, waited_ms)
+        refused = [call.args for call in handler.fenced.call_args_list]
+        self.assertEqual([('w1', item) for item in client.fences[:9]], refused)
+        handler.silent.assert_not_called()
+
+    async def test_one_that_refuses_for_ever_is_asked_seldom(self) -> None:
+        error = endpoints.WorkerFenced('w1')
+        _, _, waited_ms = await self._hold(error, 26)
+        self.assertEqual(4_000.0, waited_ms)
+
+    async def test_one_that_is_down_is_asked_often(self) -> None:
+        """Orders that come late find its next life unfenced until then."""
+        error = endpoints.WorkerDown('refused')
+        _, handler, waited_ms = await self._hold(error, 11)
+        self.assertEqual(10 * 50.0, waited_ms)
+        handler.silent.assert_called()
+
+    async def test_one_that_gives_no_answer_is_asked_seldom(self) -> None:
+        error = endpoints.WorkerUnreachable('no answer')
+        _, _, waited_ms = await self._hold(error, 11)
+        self.assertGreater(waited_ms, 3_000.0)
--- a/tests/standins/job_minion.py
+++ b/tests/standins/job_minion.py
@@ -28,6 +28,8 @@
         lose_answers: Carry orders out and never answer them.
         lose_orders: Neither carry orders out nor answer them; tell what runs.
         fail_all: Every run fails at once.
+        late_ms: Leave the next start unanswered, and carry it out so much
+            later, in whichever life runs then; 0 for never.
         hang: Runs make no progress.
         garble: Answer with what is no report.
     """
@@ -37,10 +39,19 @@
     lose_answers: bool = False
     lose_orders: bool = False
     fail_all: bool = False
+    late_ms: float = 0.0
     hang: bool = False
     garble: bool = False
 
 
+@attrs.frozen
+class _Answer:
+    """What an order to start is answered."""
+
+    status: int = 200
+    reason: str = ''
+
+
 @attrs.define(eq=False)
 class Run:
     """One run of a task.
@@ -75,6 +86,8 @@
         born_ms: When its present life began, in Unix milliseconds.
         tells_born: Whether it tells that; older ones don't.
         start_deadline_ms: The lease's end that the last start carried.
+        labels: Its kind and its rack.
+        late_starts: What became of starts that were carried out late.
     """
 
     def __init__(
@@ -94,6 +107,8 @@
         self.born_ms = int(time.time() * MS_PER_SECOND)
         self.tells_born = True
         self.start_deadline_ms = 0.0
+        self.labels = ['a', 'r1-1']
+        self.late_starts: list[_Answer] = []
         self._clock_from = 0.0
         self._begin()
         self._changed = asyncio.Event()
@@ -104,8 +119,8 @@
         """Where it listens, as ``IP:port``."""
         return self._serving.address
 
-    async def start(self) -> None:
-        """Listens on loopback."""
+    async def start(self, port: int = 0) -> None:
+        """Listens on loopback; port 0 leaves the choice to the OS."""
         app = _serve.make_app(f'job-{self.id}')
         for path, handler in (
             ('/api/run-start', self._start),
@@ -114,7 +129,19 @@
         ):
             app.add_route(handler, path, methods=['POST'])
         app.register_middleware(self._misbehave, 'request')
-        self._serving = await _serve.start(app)
+        self._serving = await _serve.start(app, port)
+
+    async def crash_for(self, seconds: float) -> None:
+        """Crashes, and starts again under its id and address after a while.
+
+        Meanwhile nobody listens there.
+        """
+        port = int(self.address.rpartition(':')[2])
+        self._end_life()
+        await self.stop()
+        await asyncio.sleep(seconds)
+        self._begin_life()
+        await self.start(port)
 
     async def stop(self) -> None:
         """Ends it and all that runs."""
@@ -126,12 +153,18 @@
         Its connections break. It runs nothing then, and knows of no
         attempt, fence or lease; its numbers and its clock start anew.
         """
+        self._end_life()
+        for connection in list(self._serving.server.connections):
+            connection.abort()
+        self._begin_life()
+
+    def _end_life(self) -> None:
         for run in self.runs:
             if run.ended is None:
                 run.ended = time.monotonic()
                 run.end = 'crashed'
-        for connection in list(self._serving.server.connections):
-            connection.abort()
+
+    def _begin_life(self) -> None:
         self.born_ms = max(self.born_ms + 1, int(time.time() * MS_PER_SECOND))
         self._clock_from = time.monotonic()
         self._begin()
@@ -157,7 +190,7 @@
             'state': 'ready',
             'warmup_left_ms': 0,
             'capacity': {'cpu': self.millicores, 'mem_mb': 9999, 'gpu': 0},
-            'labels': ['a', 'r1-1'],
+            'labels': self.labels,
             'clock_ms': self.clock_ms(),
             'sequence': self._sequence,
             **self._life(),
@@ -250,20 +283,34 @@
     async def _start(self, request: sanic.Request) -> sanic.HTTPResponse:
         body = request.json
         self.start_deadline_ms = body['deadline_ms']
+        if self.faults.late_ms:
+            loop = asyncio.get_running_loop()
+            late_s = self.faults.late_ms / MS_PER_SECOND
+            self.faults.late_ms = 0.0
+            loop.call_later(late_s, self._start_late, body)
+            await asyncio.sleep(_serve.FOREVER_S)
+        answer = self._take_start(body)
+        fields = {'reason': answer.reason} if answer.reason else {}
+        return await self._reply(answer.status, **fields)
+
+    def _start_late(self, body: dict) -> None:
+        self.late_starts.append(self._take_start(body))
+
+    def _take_start(self, body: dict) -> _Answer:
         self._let_lapse()
         if self._is_fenced(body):
-            return await self._reply(409, reason='fence')
+            return _Answer(409, 'fence')
         if body['deadline_ms'] <= self.clock_ms():
-            return await self._reply(409, reason='late')
+            return _Answer(409, 'late')
         task, attempt = body['task'], body['attempt']
         going = self.running()
         if any((run.task, run.attempt) == (task, attempt) for run in going):
-            return await self._reply()
+            return _Answer()
         self._prolong(body)
         if attempt <= self._barred.get(task, 0):
-            return await self._reply(409, reason='old')
+            return _Answer(409, 'old')
         if (len(going) + 1) * self.needs_millicores > self.millicores:
-            return await self._reply(409, reason='room')
+            return _Answer(409, 'room')
         run = Run(task, attempt, time.monotonic(), self._work_ms(body))
         self.runs.append(run)
         if self.faults.fail_all:
@@ -272,7 +319,7 @@
             asyncio.get_running_loop().call_later(
                 run.work_ms / MS_PER_SECOND, self._finish, run
             )
-        return await self._reply()
+        return _Answer()
 
     def _work_ms(self, body: dict) -> float:
         payload = body.get('spec', '')
