Give a worker tasks by the entry of its present life alone

Cause: a report tells of a new life before its entry has been read, and the dispatcher began that life with the earlier entry but for its birth. Evidence: all wrong starts lie between worker_restarted and the next reading of the table of workers; none carries an order of before the crash.

A life that only a report has told of waits for its entry; until then the worker is asked and its answers count, but it gets no task. Its entry is read at once, so that a sound worker is used as soon as it has come. What is planned or not sent yet is placed anew, a worker that left a call unanswered gets nothing until it has told of itself, and lists without lives tell nothing of a life that is known. New: the event worker_entry_read, the condition unknown.

--- a/rosemaryroad/dispatching/__init__.py
+++ b/rosemaryroad/dispatching/__init__.py
@@ -4,6 +4,7 @@
 from rosemaryroad.dispatching._actions import LookAt
 from rosemaryroad.dispatching._actions import Noted
 from rosemaryroad.dispatching._actions import RaiseFence
+from rosemaryroad.dispatching._actions import ReadEntry
 from rosemaryroad.dispatching._actions import StartTask
 from rosemaryroad.dispatching._actions import StopTask
 from rosemaryroad.dispatching._actions import TellHome
@@ -71,6 +72,7 @@
     'PriorityPolicy',
     'QueueView',
     'RaiseFence',
+    'ReadEntry',
     'RefusalCause',
     'Role',
     'SchedulingPolicy',
--- a/rosemaryroad/dispatching/_actions.py
+++ b/rosemaryroad/dispatching/_actions.py
@@ -60,6 +60,17 @@
     worker: str
 
 
+@attrs.frozen
+class ReadEntry:
+    """Read the workers' entries now; that of a new life is due.
+
+    Attributes:
+        worker: The worker.
+    """
+
+    worker: str
+
+
 @attrs.frozen
 class RaiseFence:
     """Have workers refuse the orders that were given so far.
@@ -102,5 +113,5 @@
 
 
 Action: typing.TypeAlias = (
-    StartTask | StopTask | LookAt | RaiseFence | TellHome | Noted
+    StartTask | StopTask | LookAt | ReadEntry | RaiseFence | TellHome | Noted
 )
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -250,6 +250,18 @@
         _queue.fill(self._context, now)
         return self._context.take_actions()
 
+    def is_entry_due(self, since: float) -> bool:
+        """Tells whether the entry of a new life is waited for.
+
+        Args:
+            since: Lives that were told of before then don't count.
+        """
+        return any(
+            worker.entry_due_since is not None
+            and worker.entry_due_since >= since
+            for worker in self._context.workers_by_id.values()
+        )
+
     @property
     def is_outvoted(self) -> bool:
         """Whether most VMs don't follow this one."""
@@ -276,9 +288,13 @@
         worker = self._context.workers_by_id.get(start.worker)
         if worker is None or self._context.is_drained(worker):
             return False
+        if worker.unanswered_at is not None:
+            return False
         order = worker.orders_by_key.get((start.task, start.attempt))
-        starting = _state.OrderPhase.STARTING
-        return order is not None and order.phase is starting
+        if order is None or order.is_older:
+            # Its worker has started again, maybe as another kind.
+            return False
+        return order.phase is _state.OrderPhase.STARTING
 
     def order_validity_ms(self, worker_id: str, now: float) -> float:
         """Returns how long an order to start that is sent now is valid."""
@@ -308,6 +324,15 @@
             _queue.fill_changed(self._context, now)
         return self._context.take_actions()
 
+    def call_lost(self, worker_id: str, now: float) -> None:
+        """Takes in that a call which holds a worker got no answer.
+
+        It may have crashed; what is sent next may come to another life.
+        """
+        worker = self._context.workers_by_id.get(worker_id)
+        if worker is not None:
+            worker.unanswered_at = now
+
     def silent(self, worker_id: str, cause: str, now: float) -> _Actions:
         """Takes in that a worker did not answer when asked."""
         worker = self._context.workers_by_id.get(worker_id)
--- a/rosemaryroad/dispatching/_lives.py
+++ b/rosemaryroad/dispatching/_lives.py
@@ -37,24 +37,38 @@
         context.note('worker_leaving', entry.id, 'by its own entry')
     if model.is_earlier_life(present, entry.born):
         _begin(context, worker, entry, now)
-    elif entry.born is None:
-        # An older peer lists no lives.
-        _update(context, worker, attrs.evolve(entry, born=present))
+    elif entry.born is None and present is not None:
+        # An older peer lists no lives: it may be the entry of another one.
+        leaving = worker.worker.leaving or entry.leaving
+        worker.worker = attrs.evolve(worker.worker, leaving=leaving)
+        return
     else:
-        _update(context, worker, entry)
+        _update(context, worker, entry, now)
     take_warm_up(context, worker, entry, now)
 
 
 def _update(
-    context: _context.Context, worker: _state.WorkerState, entry: model.Worker
+    context: _context.Context,
+    worker: _state.WorkerState,
+    entry: model.Worker,
+    now: float,
 ) -> None:
     """Takes in a newer entry of the present life.
 
     A report tells of a new life before its entry is read. The life may be of
-    another kind, so its capacity counts from the entry on.
+    another kind, so all that the entry tells counts from then on.
     """
     before = worker.worker
     worker.update(entry)
+    if worker.entry_due_since is not None:
+        waited_ms = now - worker.entry_due_since
+        worker.entry_due_since = None
+        context.note(
+            'worker_entry_read',
+            entry.id,
+            f'{waited_ms:.0f} ms after the first report of this life',
+        )
+        context.worker_changed(worker)
     if entry.capacity == before.capacity:
         return
     context.note(
@@ -102,6 +116,8 @@
             worker.worker = told
         else:
             _begin(context, worker, told, now)
+        worker.entry_due_since = now
+        context.ask(_actions.ReadEntry(worker.worker.id))
     worker.told_asked_at = max(worker.told_asked_at, report.asked_at)
     if report.may_lack_ends:
         for order in worker.orders_by_key.values():
@@ -156,7 +172,7 @@
     now: float,
 ) -> None:
     orders = list(worker.orders_by_key.values())
-    gone = [order for order in orders if _began_before(worker, order)]
+    gone = [order for order in orders if _ended_with_it(worker, order)]
     context.note(
         'worker_restarted',
         entry.id,
@@ -194,9 +210,13 @@
         context.raise_fence(cause)
 
 
-def _began_before(worker: _state.WorkerState, order: _state.Order) -> bool:
+def _ended_with_it(worker: _state.WorkerState, order: _state.Order) -> bool:
+    """Tells whether an attempt can't begin in the new life any more."""
     if order.was_named:
         return True
+    if order.phase is _state.OrderPhase.PLANNED:
+        # Nothing was sent; the new life may be of another kind.
+        return True
     # The earlier life has reported since; the attempt began there, then.
     begun_at = order.begun_at
     return begun_at is not None and begun_at < worker.told_asked_at
@@ -209,8 +229,6 @@
     now: float,
 ) -> None:
     """Keeps an attempt that the new life may have begun, or may yet begin."""
-    if order.phase is _state.OrderPhase.PLANNED:
-        return
     order.is_older = True
     order.was_named = False
     order.since_clock = 0.0
--- a/rosemaryroad/dispatching/_load.py
+++ b/rosemaryroad/dispatching/_load.py
@@ -16,6 +16,7 @@
     Attributes:
         SOUND: Nothing but room.
         UNHEARD: It has not told yet what it runs.
+        UNKNOWN: It has started again, and its entry doesn't tell yet as what.
         SILENT: It gives no answer.
         IN_DOUBT: It left an order unanswered and hasn't told of itself since.
         REFUSING: It refused a task for want of room and hasn't told of itself
@@ -30,6 +31,7 @@
 
     SOUND = 'sound'
     UNHEARD = 'unheard'
+    UNKNOWN = 'unknown'
     SILENT = 'silent'
     IN_DOUBT = 'in_doubt'
     REFUSING = 'refusing'
@@ -110,6 +112,8 @@
         return WorkerCondition.SILENT
     if not worker.reported:
         return WorkerCondition.UNHEARD
+    if not worker.is_kind_known:
+        return WorkerCondition.UNKNOWN
     if worker.unanswered_at is not None:
         return WorkerCondition.IN_DOUBT
     return WorkerCondition.REFUSING if worker.full else None
--- a/rosemaryroad/dispatching/_placement.py
+++ b/rosemaryroad/dispatching/_placement.py
@@ -22,6 +22,8 @@
         return False
     if not worker.reported or worker.silent_since is not None:
         return False
+    if not worker.is_kind_known:
+        return False
     if job.label and job.label not in worker.worker.labels:
         return False
     if worker.suspensions == 0:
--- a/rosemaryroad/dispatching/_queue.py
+++ b/rosemaryroad/dispatching/_queue.py
@@ -158,6 +158,7 @@
         worker
         for worker in workers
         if worker.reported
+        and worker.is_kind_known
         and not worker.full
         and not context.is_drained(worker)
         and worker.unanswered_at is None
@@ -258,7 +259,12 @@
     fit = _Fit.NONE
     are_known = False
     for worker in context.workers_by_id.values():
-        if not worker.listed or worker.worker.service != job.service:
+        if not worker.listed:
+            continue
+        if not worker.is_kind_known:
+            # Its entry may tell that it is large enough.
+            return _Fit.SOME
+        if worker.worker.service != job.service:
             continue
         are_known = True
         has_label = not job.label or job.label in worker.worker.labels
--- a/rosemaryroad/dispatching/_state.py
+++ b/rosemaryroad/dispatching/_state.py
@@ -314,13 +314,16 @@
         bad: Attempts in a row that it failed.
         suspended_until: Until when it gets no work.
         suspensions: How often in a row it was suspended.
-        unanswered_at: When it last left an order unanswered, or None
-            where it has told of itself since. It gets no more until then:
-            a cut would swallow them all.
+        unanswered_at: When it last left a call unanswered, or None where it
+            has told of itself since. It gets no more until then: a cut would
+            swallow them all, and after a crash another life may be there.
         full: Whether it refused for room since it last reported.
         told_asked_at: When it was asked for the last report of this life.
         was_ordered: Whether this dispatcher has sent it an order to start, in
             any of its lives.
+        entry_due_since: Since when its entry is waited for, if only a report
+            has told of this life. It may be of another kind than the earlier
+            one, and gets no task until then.
         dropped_born: The earlier life whose entry was dropped last.
         late_orders: Attempts given up here that may yet begin in a next
             life, where nothing refuses them.
@@ -356,6 +359,7 @@
     full: bool = False
     told_asked_at: float = -math.inf
     was_ordered: bool = False
+    entry_due_since: float | None = None
     dropped_born: int | None = None
     late_orders: collections.deque[Order] = attrs.field(
         factory=lambda: collections.deque(maxlen=_MOST_LATE_ORDERS)
@@ -438,6 +442,11 @@
             and needs.accelerators <= self.free_accelerators
         )
 
+    @property
+    def is_kind_known(self) -> bool:
+        """Whether its entry tells of its present life."""
+        return self.entry_due_since is None
+
     def could_fit(self, needs: model.Needs) -> bool:
         """Tells whether a task would fit if nothing ran here."""
         capacity = self.worker.capacity
--- a/rosemaryroad/jobserver/_cell_dispatching.py
+++ b/rosemaryroad/jobserver/_cell_dispatching.py
@@ -34,6 +34,11 @@
         """Whether this VM gives orders in any cell."""
         return any(part.is_acting for part in self._parts)
 
+    @property
+    def is_entry_due(self) -> bool:
+        """Whether a worker waits for its entry that may come any moment."""
+        return any(part.is_entry_due for part in self._parts)
+
     def divide(
         self,
         cells: dispatching.Cells,
--- a/rosemaryroad/jobserver/_dispatching.py
+++ b/rosemaryroad/jobserver/_dispatching.py
@@ -27,6 +27,10 @@
 _MIN_DOWN_PAUSE_MS = 50.0
 _MAX_DOWN_PAUSE_MS = 400.0
 
+# A worker writes its entry right after it has started. One that is later is
+# read when the table is read anyway.
+_ENTRY_DUE_MS = 500.0
+
 _Send = collections.abc.Callable[[str, model.JobMessage], bool]
 
 
@@ -43,6 +47,7 @@
         clock: The clock.
         send: Sends a message to a VM, this one included.
         metrics: What is counted.
+        read_entries: Has the workers' entries read now.
     """
 
     def __init__(
@@ -53,6 +58,7 @@
         clock: clock_module.Clock,
         send: _Send,
         metrics: _metrics.JobMetrics,
+        read_entries: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._leadership = leadership
         self._client = client
@@ -60,6 +66,7 @@
         self._clock = clock
         self._send = send
         self._metrics = metrics
+        self._read_entries = read_entries
         self._dispatcher: dispatching.JobDispatcher | None = None
         self._session_by_worker: dict[str, _sessions.WorkerSession] = {}
         self._lost_at_by_worker: dict[str, float] = {}
@@ -81,6 +88,13 @@
         """Whether this VM gives orders."""
         return self._dispatcher is not None
 
+    @property
+    def is_entry_due(self) -> bool:
+        """Whether a worker waits for its entry that may come any moment."""
+        since = self._clock.now() - _ENTRY_DUE_MS
+        dispatcher = self._dispatcher
+        return dispatcher is not None and dispatcher.is_entry_due(since)
+
     def act(self, acting: bool) -> None:
         """Begins to give orders, or ends."""
         if acting == self.is_acting:
@@ -195,7 +209,10 @@
 
     def call_lost(self, worker: str) -> None:
         """Takes in that a call got no answer."""
-        self._lost_at_by_worker[worker] = self._clock.now()
+        now = self._clock.now()
+        self._lost_at_by_worker[worker] = now
+        if self._dispatcher is not None:
+            self._dispatcher.call_lost(worker, now)
 
     def is_lossy(self) -> bool:
         """Tells whether answers of several workers got lost lately."""
@@ -376,6 +393,10 @@
         if session is not None:
             session.look()
 
+    def read_entry(self, _: dispatching.ReadEntry) -> None:
+        """Has the entry of a worker's new life read."""
+        self._read_entries()
+
     def raise_fence(self, action: dispatching.RaiseFence) -> None:
         """Has workers refuse the orders that were given so far."""
         self._leadership.raise_fence()
@@ -475,6 +496,11 @@
     to.look(action)
 
 
+@_perform.register
+def _(action: dispatching.ReadEntry, to: Dispatching) -> None:
+    to.read_entry(action)
+
+
 @_perform.register
 def _(action: dispatching.RaiseFence, to: Dispatching) -> None:
     to.raise_fence(action)
--- a/rosemaryroad/jobserver/_following.py
+++ b/rosemaryroad/jobserver/_following.py
@@ -131,6 +131,10 @@
         self._is_needed = True
         self._rested.set()
 
+    def wake(self) -> None:
+        """Has changes read now, where the follower rests."""
+        self._rested.set()
+
     async def _rest(self) -> None:
         if self._is_succession:
             await self._clock.sleep(self._succession_rest_ms)
--- a/rosemaryroad/jobserver/_node.py
+++ b/rosemaryroad/jobserver/_node.py
@@ -58,6 +58,9 @@
 _WORKERS_REST_MS = 400.0
 _WORKERS_IDLE_REST_MS = 2_000.0
 
+# A worker that has started again gets nothing before its entry is read.
+_ENTRY_DUE_REST_MS = 20.0
+
 # How long a call waits for changes. Workers that leave, new queues and
 # drained failure domains have to be known within some seconds of the store's
 # return; new VMs also link to the ones that know of them.
@@ -353,8 +356,12 @@
             self._clock,
             self._send,
             self.metrics,
+            self._read_entries,
         )
 
+    def _read_entries(self) -> None:
+        self._workers_follower.wake()
+
     def _send(self, vm: str, message: model.JobMessage) -> bool:
         return self._members.send(vm, message)
 
@@ -426,6 +433,8 @@
             logs.event(_LOG, logging.INFO, 'readiness_changed', ready=ready)
 
     def _workers_rest_ms(self) -> float:
+        if self._dispatching.is_entry_due:
+            return _ENTRY_DUE_REST_MS
         # The first division goes by the number of workers that are listed.
         if self._dispatching.is_acting or not self._members.knows_cells:
             return _WORKERS_REST_MS
--- a/tests/dispatching/drawn_case.py
+++ b/tests/dispatching/drawn_case.py
@@ -24,4 +24,5 @@
             result = await drawn_plays.play(self.FAULTS, seed)
             self.assertEqual((), result.doubled)
             self.assertEqual((), result.drained_starts)
+            self.assertEqual((), result.wrong_starts)
             self.assertGreater(result.starts, 0)
--- a/tests/dispatching/played_service.py
+++ b/tests/dispatching/played_service.py
@@ -1026,6 +1026,7 @@
         held.next_at = self.now
         held.failures += 1
         held.acknowledged.call_lost()
+        dispatcher.call_lost(worker_id, self.now)
         if held.failures >= 2:
             is_up = self.worker_by_id[worker_id].is_up
             held.next_at += _BACKOFF_MS if is_up else _REFUSED_PAUSE_MS
--- a/tests/dispatching/test_dispatcher_load.py
+++ b/tests/dispatching/test_dispatcher_load.py
@@ -34,7 +34,9 @@
             *workers,
             case.make_worker('new'),
             case.make_worker('going', leaving=True),
+            case.make_worker('returned', born=1),
         )
+        self.report('returned', born=2)
         self.dispatcher.silent('quiet', 'no answer', self.now)
         self._let_fail('tried')
         self.now += 1_000.0
--- a/tests/jobserver/test_following.py
+++ b/tests/jobserver/test_following.py
@@ -225,6 +225,25 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
+    async def test_a_rest_ends_where_an_entry_is_due(self) -> None:
+        """A worker that has started again would stand idle until then."""
+        time = clock.ManualClock()
+        tables = _InOrder(time)
+        known: set[str] = set()
+        follower = _follow_workers(
+            tables, known.update, time, lambda: 60_000.0
+        )
+        task = asyncio.create_task(follower.run())
+        self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
+        self.addCleanup(task.cancel)
+        for _ in range(_TURNS):
+            await asyncio.sleep(0)
+        tables.version = 2
+        follower.wake()
+        for _ in range(_TURNS):
+            await asyncio.sleep(0)
+        self.assertEqual({'other'}, known)
+
     async def test_a_long_rest_is_made_up_for_at_once(self) -> None:
         """A VM that has rested takes over, and a worker leaves meanwhile.
 
--- a/tests/processes/test_restarts.py
+++ b/tests/processes/test_restarts.py
@@ -17,6 +17,9 @@
 
     WORK_MS = 120.0
 
+    # Room for all jobs also while one waits for its entry.
+    MINIONS = 4
+
     async def _restart_all(self) -> None:
         for number in range(_ROUNDS * self.MINIONS):
             minion = self.minions[number % self.MINIONS]
