Count no cores of workers that nobody answers for

Callers could have had their jobs in a worse order, and operators a view of room that isn't there: an entry of another writer with up to 2^53 cores counted among the cores of all workers, though it never answered. By it late jobs seem few, and shares are divided of what doesn't exist. Where a deployment is divided by room, its cell would get nearly all jobs, for good.

Cause: the sum went over all entries. Only workers that have told of themselves count now, and in the first division each counts eight times the usual one at most.

--- a/rosemaryroad/dispatching/_cells.py
+++ b/rosemaryroad/dispatching/_cells.py
@@ -4,6 +4,7 @@
 import collections.abc
 import itertools
 import math
+import statistics
 import zlib
 
 import attrs
@@ -87,6 +88,11 @@
     return Cells(min(max(1, count), _MOST_CELLS))
 
 
+# The division is for good; one entry with a huge number would give its cell
+# all jobs.
+_MOST_TIMES_USUAL = 8.0
+
+
 def share_by_room(
     cells: Cells, workers: collections.abc.Iterable[model.Worker]
 ) -> Cells:
@@ -99,9 +105,14 @@
         cells: The division, with equal parts.
         workers: All workers.
     """
+    workers = tuple(workers)
+    if not workers:
+        return cells
+    usual = statistics.median(item.capacity.cores for item in workers)
     cores = [0.0] * cells.count
     for worker in workers:
-        cores[cells.of_worker(worker.id)] += worker.capacity.cores
+        counted = min(worker.capacity.cores, _MOST_TIMES_USUAL * usual)
+        cores[cells.of_worker(worker.id)] += counted
     if min(cores) <= 0:
         return cells
     whole = sum(cores)
--- a/rosemaryroad/dispatching/_context.py
+++ b/rosemaryroad/dispatching/_context.py
@@ -441,6 +441,18 @@
             f'{cause}, for {pause_ms:.0f} ms',
         )
 
+    def cores(self) -> float:
+        """Returns the cores of all workers that may get tasks.
+
+        An entry alone, of a worker that has never answered, adds none: by
+        the number in it, all others would seem to be next to nothing.
+        """
+        return sum(
+            worker.worker.capacity.cores
+            for worker in self.workers_by_id.values()
+            if worker.reported and not self.is_drained(worker)
+        )
+
     def _can_spare(self, now: float) -> bool:
         # Where most workers seem bad, it is the tasks, or the estimates of
         # them; with all workers suspended nobody would be served.
--- a/rosemaryroad/dispatching/_dispatcher.py
+++ b/rosemaryroad/dispatching/_dispatcher.py
@@ -414,11 +414,7 @@
         context.expecting = [
             state for state in context.expecting if state.unseen
         ]
-        cores = sum(
-            worker.worker.capacity.cores
-            for worker in context.workers_by_id.values()
-            if not context.is_drained(worker)
-        )
+        cores = context.cores()
         context.shares.refresh(now, cores, context.waiting.has_waiting())
         context.waiting.refresh(now, cores)
         _recording.resend_unanswered(context, now)
--- a/rosemaryroad/dispatching/_viewing.py
+++ b/rosemaryroad/dispatching/_viewing.py
@@ -44,9 +44,8 @@
 
 
 def _add_cores(context: _context.Context, view: _view.SchedulingView) -> None:
+    view.cores = context.cores()
     for worker in context.workers_by_id.values():
-        if not context.is_drained(worker):
-            view.cores += worker.worker.capacity.cores
         for order in worker.orders_by_key.values():
             _add_order(context, view, order)
 
--- a/tests/dispatching/test_cells.py
+++ b/tests/dispatching/test_cells.py
@@ -69,6 +69,13 @@
                     cores[cell] / whole, jobs[cell] / 30_000, delta=0.01
                 )
 
+    def test_one_odd_number_takes_no_jobs_from_the_others(self) -> None:
+        """The division is for good; one cell would get all jobs."""
+        even = dispatching.Cells(self.cells.count)
+        odd = case.make_worker('odd', cores=2.0**43)
+        cells = dispatching.share_by_room(even, (*self.workers, odd))
+        self.assertLess(max(cells.shares), 2 * max(self.cells.shares))
+
     def test_workers_stay_where_they_are(self) -> None:
         even = dispatching.Cells(3)
         for worker in self.workers:
--- a/tests/dispatching/test_view.py
+++ b/tests/dispatching/test_view.py
@@ -26,6 +26,14 @@
         self.assertEqual(0.0, own.expected_wait_ms)
         self.assertEqual(64.0, self.dispatcher.view(self.now).cores)
 
+    def test_an_entry_that_nobody_answers_for_adds_no_cores(self) -> None:
+        """Another writer's number would hide that there is no room."""
+        self.add_workers('w1')
+        self.list_workers(
+            case.make_worker('w1'), case.make_worker('odd', cores=2.0**43)
+        )
+        self.assertEqual(64.0, self.dispatcher.view(self.now).cores)
+
     def test_cores_of_jobs_that_are_gone(self) -> None:
         """Their room counts until the worker has stopped them.
 
