Name no worker by a key or an address that no call can use

Also: an entry that its writer renews was complained of at each renewal; loose brackets, IPv6 numbers without any and digits of other scripts passed for addresses.

--- a/rosemaryroad/model/_endpoints.py
+++ b/rosemaryroad/model/_endpoints.py
@@ -1,9 +1,16 @@
 """Endpoints, the back ends on which tasks run."""
 
 import ipaddress
+import re
 
 import attrs
 
+_PORT = re.compile('[0-9]{1,5}')
+_PORTS_END = 65_536
+
+# How much of a text that is no address an error shows.
+_SHOWN = 60
+
 
 @attrs.frozen
 class Address:
@@ -27,10 +34,15 @@
         Raises:
             ValueError: The host is no IP number or the port is no port.
         """
-        host, colon, port = text.rpartition(':')
-        if not colon or not port.isdecimal() or not 0 < int(port) < 65536:
-            raise ValueError(f'not an IP:port address: {text!r}')
-        ipaddress.ip_address(host.strip('[]'))
+        host, _, port = text.rpartition(':')
+        if not _PORT.fullmatch(port) or not 0 < int(port) < _PORTS_END:
+            raise ValueError(f'not an IP:port address: {text[:_SHOWN]!r}')
+        if host.startswith('[') and host.endswith(']'):
+            number = ipaddress.IPv6Address(host[1:-1])
+            if number.scope_id is not None:
+                raise ValueError('an address with a scope')
+        else:
+            ipaddress.IPv4Address(host)
         return cls(host, int(port))
 
 
--- a/rosemaryroad/platform/_decoding.py
+++ b/rosemaryroad/platform/_decoding.py
@@ -52,24 +52,23 @@
     return key.startswith(_DRAIN_PREFIX)
 
 
-def decode_drain(key: str, text: str) -> str | None:
+def decode_drain(key: str, text: str) -> str:
     """Reads a row that has a failure domain drained for as long as it is.
 
     Returns:
-        The failure domain, or None where the row names none.
+        The failure domain.
+
+    Raises:
+        ValueError: The row names none.
     """
     domain = key.removeprefix(_DRAIN_PREFIX)
-    try:
-        _object(_json_values.load(text))
-        if not domain:
-            raise _Damaged('no failure domain')
-    except ValueError as error:
-        _skipped(key, error)
-        return None
+    _object(_json_values.load(text))
+    if not domain:
+        raise _Damaged('no failure domain')
     return domain
 
 
-def decode_worker(key: str, text: str) -> model.Worker | None:
+def decode_worker(key: str, text: str) -> model.Worker:
     """Reads a minion's own entry.
 
     Args:
@@ -77,35 +76,37 @@
         text: The entry.
 
     Returns:
-        The worker, or None where the entry names none.
+        The worker.
+
+    Raises:
+        ValueError: The entry names none.
     """
-    try:
-        raw = _object(_json_values.load(text))
-        state = _text(raw, 'state')
-        if state not in _STATES:
-            raise _Damaged(f'state {state[:40]!r}')
-        address = _text(raw, 'address')
-        model.Address.parse(address)
-        capacity = _object(raw.get('capacity'))
-        return model.Worker(
-            id=key,
-            service=_text(raw, 'service'),
-            address=address,
-            failure_domain=_text(raw, 'zone'),
-            capacity=model.Needs(
-                # "cpu" is in thousandths of a core.
-                cores=_whole(capacity, 'cpu') / _MILLI,
-                memory_mb=_whole(capacity, 'mem_mb'),
-                accelerators=_whole(capacity, 'gpu', 0),
-            ),
-            labels=_labels(raw),
-            leaving=state == 'draining',
-            born=read_born(raw),
-            warm_up_left_ms=_number(raw, 'warmup_left_ms', 0.0),
-        )
-    except ValueError as error:
-        _skipped(key, error)
-        return None
+    if not key.isprintable() or key != key.strip():
+        # Calls name the worker in a header.
+        raise _Damaged(f'id {key[:40]!r}')
+    raw = _object(_json_values.load(text))
+    state = _text(raw, 'state')
+    if state not in _STATES:
+        raise _Damaged(f'state {state[:40]!r}')
+    address = _text(raw, 'address')
+    model.Address.parse(address)
+    capacity = _object(raw.get('capacity'))
+    return model.Worker(
+        id=key,
+        service=_text(raw, 'service'),
+        address=address,
+        failure_domain=_text(raw, 'zone'),
+        capacity=model.Needs(
+            # "cpu" is in thousandths of a core.
+            cores=_whole(capacity, 'cpu') / _MILLI,
+            memory_mb=_whole(capacity, 'mem_mb'),
+            accelerators=_whole(capacity, 'gpu', 0),
+        ),
+        labels=_labels(raw),
+        leaving=state == 'draining',
+        born=read_born(raw),
+        warm_up_left_ms=_number(raw, 'warmup_left_ms', 0.0),
+    )
 
 
 def read_born(raw: dict[str, typing.Any]) -> int | None:
--- a/tests/platform_adapter/test_bounds.py
+++ b/tests/platform_adapter/test_bounds.py
@@ -62,12 +62,49 @@
             {'zone': _HALF_PAIR},
             {'labels': ['a', _HALF_PAIR]},
             {'address': f'{_HALF_PAIR}:80'},
+            {'address': '10.0.0.9:65536'},
+            {'address': '10.0.0.9:0'},
+            {'address': '10.0.0.9:-1'},
+            {'address': '10.0.0.9:' + '9' * 5_000},
+            {'address': '10.0.0.9:\u0661\u0662'},
+            {'address': '10.0.0.9]:80'},
+            {'address': '::1:80'},
+            {'address': '[fe80::1%a b]:80'},
         ):
             with self.subTest(repr(change)[:60]):
                 self.assertEqual(
                     ['good'], self._names(entries.WORKER | change)
                 )
 
+    def test_an_id_that_no_call_can_name_hides_no_other(self) -> None:
+        """Each call to it failed, with a traceback in the log."""
+        text = json.dumps(entries.WORKER)
+        for key in ('a\nb', 'a\x00', '\x7f', ' a', 'a\u2028b'):
+            rows = {
+                name: platform.Row(name, text, 1) for name in (key, 'good')
+            }
+            with self.subTest(repr(key)):
+                found = self.adapter.read_workers(rows)
+                self.assertEqual(['good'], [item.id for item in found])
+
+    def test_one_that_is_written_again_is_complained_of_once(self) -> None:
+        """Its writer renews it every second, and the log would be full."""
+        with self.assertLogs('rosemaryroad', 'WARNING') as logged:
+            for sequence in range(5):
+                entry = {'address': 'x' * 60_000, 'sequence': sequence}
+                text = json.dumps(entries.WORKER | entry)
+                rows = {'bad': platform.Row('bad', text, sequence)}
+                self.assertEqual((), self.adapter.read_workers(rows))
+        [record] = logged.records
+        self.assertLess(len(record.getMessage()), 300)
+
+    def test_one_that_was_put_right_is_complained_of_again(self) -> None:
+        with self.assertLogs('rosemaryroad', 'WARNING') as logged:
+            for state in ('odd', 'ready', 'odd'):
+                text = json.dumps(entries.WORKER | {'state': state})
+                self.adapter.read_workers({'w': platform.Row('w', text, 1)})
+        self.assertEqual(2, len(logged.records))
+
     def test_a_fault_of_the_decoder_hides_no_other(self) -> None:
         """A kind of damage that nobody thought of comes in."""
 
@@ -171,6 +208,13 @@
             ):
                 self._read(_REPORT | change)
 
+    def test_a_report_that_is_nested_too_deep_is_none(self) -> None:
+        deep = b'[' * 100_000 + b']' * 100_000
+        sound = json.dumps(_REPORT).encode()
+        for data in (deep, sound[:-1] + b', "more": ' + deep + b'}'):
+            body = _report_bodies.read_body(data)
+            self.assertRaises(ValueError, _report_bodies.read_report, body, 5)
+
     def test_a_refusal_of_no_sense_has_no_reason(self) -> None:
         """A list can't be looked up; the order's task waited for good."""
         self.assertEqual('', _report_bodies.read_reason({'reason': ['room']}))
