Make the plays of lives by the method of the plays of returns

drawn_lives had a copy of _make_service that differed by the labels alone; these are an attribute of the list now. The condition in_doubt is said to follow a call without an answer, as it does since, not only an order.

--- a/rosemaryroad/dispatching/_load.py
+++ b/rosemaryroad/dispatching/_load.py
@@ -18,7 +18,7 @@
         UNHEARD: It has not told yet what it runs.
         UNKNOWN: It has started again, and its entry doesn't tell yet as what.
         SILENT: It gives no answer.
-        IN_DOUBT: It left an order unanswered and hasn't told of itself since.
+        IN_DOUBT: It left a call unanswered and hasn't told of itself since.
         REFUSING: It refused a task for want of room and hasn't told of itself
             since.
         SUSPENDED: Its tasks failed.
--- a/tests/dispatching/drawn_lives.py
+++ b/tests/dispatching/drawn_lives.py
@@ -10,7 +10,6 @@
 import collections.abc
 
 from tests.dispatching import drawn_returns
-from tests.dispatching import played_service
 
 _KINDS = ('a', 'b')
 _LABELS = ('', 'a', 'b')
@@ -28,6 +27,8 @@
 class DrawnLives(drawn_returns.DrawnReturns):
     """One play: lives of workers, late orders, and who dispatches."""
 
+    LABELS = _KINDS
+
     async def play(self) -> None:
         """Plays crashes and other faults while orders come late, and heals."""
         draw = self._draw
@@ -39,18 +40,6 @@
         await self._submit_for(draw.choice(_LAST_PAUSES_MS))
         await self._finish(_LAST_PAUSES_MS)
 
-    def _make_service(
-        self, run_ms: float, vms: int
-    ) -> played_service.PlayedService:
-        return played_service.PlayedService(
-            workers=self._workers,
-            run_ms=run_ms,
-            vms=vms,
-            stop_ms=self._draw.choice(drawn_returns._STOPS_MS),
-            tells_fenced_stops=True,
-            labels=_KINDS,
-        )
-
     def _draw_lateness(self, share: float) -> float | None:
         if self._draw.random() >= share:
             return None
--- a/tests/dispatching/drawn_returns.py
+++ b/tests/dispatching/drawn_returns.py
@@ -44,7 +44,13 @@
 
 
 class DrawnReturns(drawn_faults.DrawnFaults):
-    """One play: a VM is cut off alone, and other faults follow."""
+    """One play: a VM is cut off alone, and other faults follow.
+
+    Attributes:
+        LABELS: The labels of the workers of each domain, in turn.
+    """
+
+    LABELS: tuple[str, ...] = ()
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
@@ -70,6 +76,7 @@
             vms=vms,
             stop_ms=self._draw.choice(_STOPS_MS),
             tells_fenced_stops=True,
+            labels=self.LABELS,
         )
 
     def _draw_vm(self) -> str:
